--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -5,6 +5,8 @@
 
 #define HOLD_S 6.0
 #define WATCH_S 2.0
+#define WATCH_SHARE 0.35  /* of the store's requests, all controllers together */
+#define VERIFY_SHARE 0.15 /* the same, for checking what polls are told */
 #define PEER_EVERY_S 1.0
 #define PEER_AFTER_S 2.5 /* without a look at the store */
 #define ALONE_S 2.5
@@ -157,6 +159,8 @@
   call->data = data;
   call->free_data = free_data;
   t->call = ++c->next_call;
+  c->txns[t->prio]++;
+  c->txn_writes[t->prio] += t->writes->len;
   g_hash_table_insert(c->commits, g_memdup2(&t->call, sizeof t->call), call);
   g_queue_push_tail(c->outs, t);
 }
@@ -259,6 +263,9 @@
   c->catch_up.n = 0;
   c->sync = FK_SYNC_LISTING;
   c->launching = c->finalizing = c->stopping = FALSE;
+  c->claiming = c->roster_sending = c->ends_sending = c->fencing = c->splitting = FALSE;
+  c->fence_needed = TRUE;
+  g_hash_table_remove_all(c->ended);
   list_next(c);
 }
 
@@ -312,6 +319,7 @@
 
 static void became_ready(FkController *c) {
   c->sync = FK_SYNC_READY;
+  c->ready_since = c->now;
   g_info("view ready at revision %" G_GUINT64_FORMAT ": %u jobs, %u machines", c->view->applied.n,
          g_hash_table_size(c->view->jobs), g_hash_table_size(c->view->machines));
 }
@@ -343,9 +351,11 @@
     became_ready(c);
   /* A short pause lets several changes come in one answer: the watch's share of the request budget stays
    * small. */
-  watch_next(c, events->len ? MAX(0.02, 6.0 / c->settings->state_rps) : 0);
+  watch_next(c, events->len ? MAX(0.02, fk_controllers(c) / (WATCH_SHARE * c->settings->state_rps)) : 0);
   if (fk_ready(c)) {
+    fk_claims_tick(c);
     fk_homes_view_changed(c);
+    fk_ends_tick(c);
     fk_place(c);
     fk_leader_act(c);
   }
@@ -622,8 +632,9 @@
 static void free_asks(gpointer p) { g_ptr_array_unref(p); }
 
 static void verify_next(FkController *c) {
-  if (c->verifying || g_queue_is_empty(c->verify))
+  if (c->verifying || g_queue_is_empty(c->verify) || !fk_time_reached(c->now, c->verify_after))
     return;
+  c->verify_after = fk_time_add(c->now, fk_controllers(c) / (VERIFY_SHARE * c->settings->state_rps));
   FkOut *t = fk_txn_new(c, FK_PRIO_USER);
   GPtrArray *asks = g_ptr_array_new();
   guint max = MIN(c->settings->txn_ops * 4, 400);
@@ -759,6 +770,16 @@
     read_live(c, a);
 }
 
+guint fk_controllers(FkController *c) {
+  guint all = c->settings->peers->len + 1;
+  return fk_ready(c) ? CLAMP(g_hash_table_size(c->view->nodes), 1, all) : all;
+}
+
+double fk_controller_share(FkController *c) { return 1.0 / fk_controllers(c); }
+
+/* The leader writes for the services of all: it has two parts. */
+double fk_controller_write_share(FkController *c) { return (c->leading ? 2.0 : 1.0) / (fk_controllers(c) + 1); }
+
 gboolean fk_controller_up(FkController *c, FkTime now) {
   /* When the store answers others and not us, users are better served by them. When it answers nobody, taking
    * ourselves out would only make the return slower. */
@@ -791,6 +812,8 @@
   c->verify = g_queue_new();
   c->peer_proof = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->held = g_queue_new();
+  c->fence_needed = TRUE;
+  c->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, fk_ending_free);
   c->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, redirect_free);
   c->commands = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   c->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fk_queue_free);
@@ -820,6 +843,7 @@
   g_queue_free(c->held);
   g_hash_table_unref(c->peer_proof);
   g_hash_table_unref(c->redirects);
+  g_hash_table_unref(c->ended);
   g_hash_table_unref(c->commands);
   g_array_unref(c->pending);
   g_hash_table_unref(c->queues);
@@ -855,9 +879,19 @@
   }
   c->types_next = fk_time_add(now, 60);
   for (guint i = 0; i < types->len; i++) {
-    FkType *t = types->pdata[i];
+    FkType *t = types->pdata[i], *known = g_hash_table_lookup(c->types, t->name);
     types->pdata[i] = NULL;
-    g_hash_table_replace(c->types, t->name, t);
+    if (!known) {
+      g_hash_table_replace(c->types, t->name, t);
+      continue;
+    }
+    /* in place: machines hold on to theirs */
+    FkType old = *known;
+    *known = *t;
+    known->name = old.name; /* the table's key */
+    old.name = t->name;
+    *t = old;
+    fk_type_free(t);
   }
 }
 
@@ -873,8 +907,12 @@
     return;
   verify_next(c);
   peers_tick(c);
+  fk_claims_tick(c);
   fk_homes_tick(c);
+  fk_ends_tick(c);
   fk_windows_tick(c);
   fk_leader_tick(c);
+  fk_roster_tick(c);
+  fk_quota_tick(c);
   fk_place(c);
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -38,7 +38,7 @@
 void fk_report_free(FkReport *r);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkReport, fk_report_free)
 
-typedef struct {
+typedef struct FkType {
   char *name;
   double cpus, gpus, mem_gb, fetch_gb_per_s, price, spot_price, boot_s;
   char **zones;
@@ -75,7 +75,7 @@
   FkRev hold;       /* 0: none */
 } FkWrite;
 
-typedef enum { FK_PRIO_HOLD, FK_PRIO_USER, FK_PRIO_LAUNCH, FK_PRIO_RESULT } FkPrio;
+typedef enum { FK_PRIO_HOLD, FK_PRIO_USER, FK_PRIO_CLAIM, FK_PRIO_LAUNCH, FK_PRIO_RESULT } FkPrio;
 
 typedef enum {
   FK_OUT_ANSWER,     /* to a user: status, job, phase, done, running, retry_s */
@@ -116,6 +116,7 @@
   GPtrArray *names;
   FkRev rev;
   double seconds, delay_s;
+  guint tries; /* the shell's: times refused for want of budget */
 } FkOut;
 
 void fk_out_free(FkOut *o);
@@ -136,6 +137,9 @@
 FkOut *fk_controller_next(FkController *c); /* NULL: nothing more to do */
 gboolean fk_controller_up(FkController *c, FkTime now);
 FkView *fk_controller_view(FkController *c);
+/* This controller's part of the store's request and write budgets. */
+double fk_controller_share(FkController *c);
+double fk_controller_write_share(FkController *c);
 
 /* ---- inputs ---- */
 void fk_controller_tick(FkController *c, FkTime now, gint64 wall_us);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -2,9 +2,10 @@
 #include "core/internal.h"
 
 #include <math.h>
+#include <string.h>
 
-#define LIST_EVERY_S 3.0
 #define TICK_S 0.5
+#define PLAN_JOBS 2000 /* looked at; more wait their turn */
 
 typedef struct {
   char *id, *type, *zone;
@@ -41,12 +42,13 @@
   char *after;
   FkTime list_began;
   GHashTable *rates; /* class -> Rate */
+  FkTime counted;    /* jobs seen before this are in the rates */
 };
 
 typedef struct {
   FkSpec *spec;
-  double rate; /* arrivals a second, smoothed */
-  FkTime last;
+  double rate;  /* arrivals a second, smoothed */
+  guint since;  /* seen since the last look */
 } Rate;
 
 static void booting_free(gpointer p) {
@@ -121,13 +123,7 @@
     if (m && m->rec) {
       if (l->state == FK_MACHINE_FAILED && !m->mark && fk_time_between(m->rec_seen, now) > 1) {
         /* stopped on its own: as good as silent */
-        FkRecord *r = fk_record_new(FK_KEY_MARK);
-        r->why = g_strdup("silent");
-        r->notice_s = -1;
-        FkOut *t = fk_txn_new(c, FK_PRIO_LAUNCH);
-        fk_txn_guard(t, fk_key(FK_KEY_MACHINE, m->id), m->rev);
-        fk_txn_put(t, fk_key(FK_KEY_MARK, m->id), r, (FkRev){0});
-        fk_txn_send(c, t, fk_ignore_commit, NULL, NULL);
+        fk_roster_mark(c, m, "silent", -1);
       }
       continue;
     }
@@ -157,14 +153,11 @@
     f->list_next = now;
   } else {
     g_clear_pointer(&f->after, g_free);
-    f->list_next = fk_time_add(now, LIST_EVERY_S);
+    f->list_next = fk_time_add(now, MAX(3.0, c->settings->list_lag_s / 2));
     f->listed_once = TRUE;
   }
 }
 
-/* For transactions that are simply tried again by the next look at the view. */
-void fk_ignore_commit(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {}
-
 /* ------------------------------------------------------------------ renting */
 
 static void hire_send(FkController *c, Hire *h) {
@@ -248,55 +241,118 @@
 /* ------------------------------------------------------------------ demand */
 
 /* What the fleet would do, played through in thought: room now, room when running tasks end and when machines
- * come up. Only work that would wait for too long is worth renting for. */
+ * come up. Only work that would wait for too long is worth renting for. Machines, and the room that tasks will
+ * leave, are alike in large numbers: those that are go into one bin with a count. */
+typedef enum { BIN_IDLE, BIN_UP, BIN_COMING, BIN_LATER } BinKind;
+typedef struct {
+  const FkType *type;
+  const char *zone; /* interned */
+  guint32 spot, kind;
+  gint64 cpus4, gpus4, mem2, at2; /* in steps of 1/4 CPU and GPU, 1/2 GB, 2 s */
+} BinKey;
 typedef struct {
-  const char *id; /* machine, or NULL for one that isn't up */
-  const char *type, *zone;
-  gboolean spot, used, fresh; /* fresh: to be rented */
-  double cpus, gpus, mem;     /* free from `at` on */
-  double at;                  /* seconds from now */
-  gboolean later;             /* room that a running task will leave */
+  BinKey key;
+  guint count;
+  double cpus, gpus, mem; /* free in each, from `at` on */
+  double at;              /* seconds from now */
 } Bin;
+typedef struct {
+  GArray *list;      /* Bin */
+  GHashTable *index; /* BinKey -> place in the list + 1 */
+  GArray *hire;      /* Bin: what to rent, and how many */
+} Bins;
+
+static guint bin_hash(gconstpointer k) {
+  const guint8 *p = k;
+  guint h = 2166136261u;
+  for (gsize i = 0; i < sizeof(BinKey); i++)
+    h = (h ^ p[i]) * 16777619u;
+  return h;
+}
 
-static gboolean bin_fits(FkController *c, const Bin *b, const FkSpec *s) {
-  FkType *t = g_hash_table_lookup(c->types, b->type);
-  return t && s->cpus <= b->cpus + 1e-6 && s->gpus <= b->gpus + 1e-6 && s->mem_gb <= b->mem + 1e-6 &&
-         (!b->spot || s->spot) && (!s->zone || g_str_equal(s->zone, b->zone)) && fk_job_fits_type(s, t);
-}
-
-/* The earliest room for a task, or NULL. */
-static Bin *bin_earliest(FkController *c, GArray *bins, const FkSpec *s) {
-  Bin *best = NULL;
-  for (guint i = 0; i < bins->len; i++) {
-    Bin *b = &g_array_index(bins, Bin, i);
-    if ((!best || b->at < best->at) && bin_fits(c, b, s)) {
-      best = b;
-      if (b->at <= 0)
-        break;
-    }
+static gboolean bin_equal(gconstpointer a, gconstpointer b) { return memcmp(a, b, sizeof(BinKey)) == 0; }
+
+/* Room that is there counts a little short, room that will be left a little long: what leaves it fits in again. */
+static void bin_add(Bins *b, BinKind kind, const FkType *type, const char *zone, gboolean spot, guint count, double cpus,
+                    double gpus, double mem, double at) {
+  if (!count || (cpus < 0.25 && gpus < 0.25) || mem < 0.25)
+    return;
+  double up = kind == BIN_LATER ? 1 : 1e-6;
+  BinKey k;
+  memset(&k, 0, sizeof k);
+  k.type = type;
+  k.zone = g_intern_string(zone);
+  k.spot = (guint32)spot;
+  k.kind = kind;
+  k.cpus4 = (gint64)floor(cpus * 4 + MIN(up, 0.9999));
+  k.gpus4 = (gint64)floor(gpus * 4 + MIN(up, 0.9999));
+  k.mem2 = (gint64)floor(mem * 2 + MIN(up, 0.9999));
+  k.at2 = at <= 0 ? 0 : 1 + (gint64)(at / 2);
+  guint i = GPOINTER_TO_UINT(g_hash_table_lookup(b->index, &k));
+  if (i) {
+    g_array_index(b->list, Bin, i - 1).count += count;
+    return;
+  }
+  Bin bin = {k, count, k.cpus4 / 4.0, k.gpus4 / 4.0, k.mem2 / 2.0, MAX(0, at)};
+  g_array_append_val(b->list, bin);
+  g_hash_table_insert(b->index, g_memdup2(&k, sizeof k), GUINT_TO_POINTER(b->list->len));
+}
+
+static guint slots_of(double cpus, double gpus, double mem, const FkSpec *s) {
+  double n = s->cpus > 0 ? floor(cpus / s->cpus + 1e-6) : 1e6;
+  if (s->gpus > 0)
+    n = MIN(n, floor(gpus / s->gpus + 1e-6));
+  if (s->mem_gb > 0)
+    n = MIN(n, floor(mem / s->mem_gb + 1e-6));
+  return (guint)CLAMP(n, 0, 100000);
+}
+
+/* How many such tasks one machine of the bin has room for. */
+static guint bin_slots(const Bin *b, const FkSpec *s) {
+  if ((b->key.spot && !s->spot) || (s->zone && !g_str_equal(s->zone, b->key.zone)) || !fk_job_fits_type(s, b->key.type))
+    return 0;
+  return slots_of(b->cpus, b->gpus, b->mem, s);
+}
+
+/* The earliest room for a task, on machines in use before idle ones; -1: none. */
+static int bin_earliest(const Bins *bins, const FkSpec *s) {
+  int best = -1;
+  for (guint i = 0; i < bins->list->len; i++) {
+    const Bin *b = &g_array_index(bins->list, Bin, i), *x = best < 0 ? NULL : &g_array_index(bins->list, Bin, best);
+    if (!b->count || (x && (b->at > x->at || (b->at == x->at && (b->key.kind != BIN_UP || x->key.kind == BIN_UP)))))
+      continue;
+    if (bin_slots(b, s))
+      best = (int)i;
   }
   return best;
 }
 
-static void bin_use(GArray *bins, Bin *b, const FkSpec *s, double run_s) {
-  Bin after = *b;
-  b->cpus -= s->cpus;
-  b->gpus -= s->gpus;
-  b->mem -= s->mem_gb;
-  b->used = TRUE;
-  if (s->shape == FK_SHAPE_SERVICE)
-    return;
-  after.cpus = s->cpus;
-  after.gpus = s->gpus;
-  after.mem = s->mem_gb;
-  after.at += run_s;
-  after.later = TRUE;
-  after.fresh = FALSE;
-  g_array_append_val(bins, after);
+/* Up to `tasks` go into machines of the bin, each machine filled before the next. Returns how many did. */
+static guint bin_use(Bins *bins, int at, const FkSpec *s, guint tasks, double run_s) {
+  Bin b = g_array_index(bins->list, Bin, at);
+  guint slots = bin_slots(&b, s), n = (guint)MIN((guint64)tasks, (guint64)slots * b.count), full = n / slots,
+        rest = n % slots;
+  BinKind kind = b.key.kind == BIN_IDLE ? BIN_UP : b.key.kind;
+  g_array_index(bins->list, Bin, at).count -= full + (rest > 0);
+  bin_add(bins, kind, b.key.type, b.key.zone, b.key.spot, full, b.cpus - slots * s->cpus, b.gpus - slots * s->gpus,
+          b.mem - slots * s->mem_gb, b.at);
+  bin_add(bins, kind, b.key.type, b.key.zone, b.key.spot, rest > 0, b.cpus - rest * s->cpus, b.gpus - rest * s->gpus,
+          b.mem - rest * s->mem_gb, b.at);
+  if (s->shape != FK_SHAPE_SERVICE)
+    bin_add(bins, BIN_LATER, b.key.type, b.key.zone, b.key.spot, n, s->cpus, s->gpus, s->mem_gb, b.at + run_s);
+  return n;
 }
 
+typedef struct {
+  const FkType *type;
+  const char *zone;
+  gboolean spot;
+  guint slots;
+  double ready_s;
+} Offer;
+
 /* The cheapest way to get room for up to `tasks` more tasks like this: price a task that fits. */
-static gboolean bin_offer(FkController *c, const FkSpec *s, guint tasks, gboolean spot_only, Bin *offer) {
+static gboolean bin_offer(FkController *c, const FkSpec *s, guint tasks, gboolean spot_only, Offer *offer) {
   GHashTableIter it;
   gpointer p;
   double best_cost = G_MAXDOUBLE;
@@ -314,21 +370,16 @@
         Closed *cl = g_hash_table_lookup(c->fleet->closed, key);
         if (cl && !fk_time_reached(c->now, cl->until))
           continue;
-        double slots = s->cpus > 0 ? floor(t->cpus / s->cpus + 1e-6) : 1e6;
-        if (s->mem_gb > 0)
-          slots = MIN(slots, floor(t->mem_gb / s->mem_gb + 1e-6));
-        if (s->gpus > 0)
-          slots = MIN(slots, floor(t->gpus / s->gpus + 1e-6));
-        if (slots < 1)
+        guint slots = slots_of(t->cpus, t->gpus, t->mem_gb, s);
+        if (!slots)
           continue;
         /* booting and fetching are paid for as well */
         double ready = t->boot_s + s->image_gb / MAX(0.01, t->fetch_gb_per_s);
         double cost =
-            (spot ? t->spot_price : t->price) * (1 + ready / (2 * run_s)) / MIN(slots, (double)tasks);
+            (spot ? t->spot_price : t->price) * (1 + ready / (2 * run_s)) / MIN(slots, tasks);
         if (cost < best_cost) {
           best_cost = cost;
-          *offer =
-              (Bin){NULL, t->name, t->zones[z], spot, TRUE, TRUE, t->cpus, t->gpus, t->mem_gb, ready, FALSE};
+          *offer = (Offer){t, t->zones[z], spot, slots, ready};
         }
       }
   }
@@ -373,33 +424,43 @@
   return x->submitted_us < y->submitted_us ? -1 : 1;
 }
 
+#define RATE_OVER_S 30.0
+#define RATE_GROWTH 2.0 /* a crowd at the start isn't taken for the way things will go on */
+
 /* Arrivals of services are learnt, so that some room is up when the next one comes. */
-static void learn_rates(FkController *c) {
+static void learn_rates(FkController *c, double dt) {
+  FkFleet *f = c->fleet;
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->jobs);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkJob *j = p;
-    if (j->spec->shape != FK_SHAPE_SERVICE)
+    if (j->spec->shape != FK_SHAPE_SERVICE || j->seen.us <= f->counted.us)
       continue;
-    Rate *r = g_hash_table_lookup(c->fleet->rates, j->spec->class_name);
+    Rate *r = g_hash_table_lookup(f->rates, j->spec->class_name);
     if (!r) {
       r = g_new0(Rate, 1);
       r->spec = fk_spec_ref(j->spec);
-      r->last = j->seen;
       r->rate = 0.02;
-      g_hash_table_insert(c->fleet->rates, g_strdup(j->spec->class_name), r);
-    } else if (j->seen.us > r->last.us) {
-      double gap = MAX(0.5, fk_time_between(r->last, j->seen));
-      r->rate += 0.2 * (1 / gap - r->rate) * MIN(1, gap / 20);
-      r->last = j->seen;
+      g_hash_table_insert(f->rates, g_strdup(j->spec->class_name), r);
+    }
+    if (j->seen.us > c->led_since.us + 1000000) {
+      r->since++;
       fk_spec_unref(r->spec);
       r->spec = fk_spec_ref(j->spec);
     }
   }
+  f->counted = c->now;
+  g_hash_table_iter_init(&it, f->rates);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    Rate *r = p;
+    double seen = MIN(r->since / dt, RATE_GROWTH * r->rate + 1);
+    r->rate += (seen - r->rate) * MIN(1, dt / RATE_OVER_S);
+    r->since = 0;
+  }
 }
 
-static void add_machines(FkController *c, GArray *bins) {
+static void add_machines(FkController *c, Bins *bins) {
   FkFleet *f = c->fleet;
   GHashTableIter it;
   gpointer p;
@@ -409,10 +470,8 @@
     const FkType *t = fk_type_of(c, m);
     if (!t || m->mark)
       continue;
-    Bin b = {m->id, t->name,           m->rec->zone,      m->rec->spot,          m->books->len > 0,
-             FALSE, t->cpus - m->cpus, t->gpus - m->gpus, t->mem_gb - m->mem_gb, 0,
-             FALSE};
-    g_array_append_val(bins, b);
+    bin_add(bins, m->books->len ? BIN_UP : BIN_IDLE, t, m->rec->zone, m->rec->spot, 1, t->cpus - m->cpus, t->gpus - m->gpus,
+            t->mem_gb - m->mem_gb, 0);
     for (guint i = 0; i < m->books->len; i++) {
       FkBookRef *r = &g_array_index(m->books, FkBookRef, i);
       const FkSpec *s = r->job->spec;
@@ -422,9 +481,7 @@
       /* a task past its estimate may take as long again as it's late */
       if (left < 2)
         left = 2 + MIN(60, -left);
-      Bin later = {m->id,   t->name, m->rec->zone, m->rec->spot, TRUE, FALSE,
-                   s->cpus, s->gpus, s->mem_gb,    left,         TRUE};
-      g_array_append_val(bins, later);
+      bin_add(bins, BIN_LATER, t, m->rec->zone, m->rec->spot, 1, s->cpus, s->gpus, s->mem_gb, left);
     }
   }
   g_hash_table_iter_init(&it, f->booting);
@@ -434,23 +491,82 @@
     double age = fk_time_between(bt->since, c->now);
     if (!t || bt->failed || g_hash_table_contains(f->returning, bt->id) || age > MAX(30, 2.5 * t->boot_s))
       continue;
-    Bin b = {NULL,  t->name, bt->zone, bt->spot,  TRUE,
-             FALSE, t->cpus, t->gpus,  t->mem_gb, MAX(2, t->boot_s - age),
-             FALSE};
-    g_array_append_val(bins, b);
+    bin_add(bins, BIN_COMING, t, bt->zone, bt->spot, 1, t->cpus, t->gpus, t->mem_gb, MAX(2, t->boot_s - age));
   }
   for (guint i = 0; i < f->hires->len; i++) {
     Hire *h = f->hires->pdata[i];
     FkType *t = g_hash_table_lookup(c->types, h->type);
-    for (guint k = 0; t && k < h->count; k++) {
-      Bin b = {NULL, t->name, h->zone, h->spot, TRUE, FALSE, t->cpus, t->gpus, t->mem_gb, t->boot_s, FALSE};
-      g_array_append_val(bins, b);
+    if (t)
+      bin_add(bins, BIN_COMING, t, h->zone, h->spot, h->count, t->cpus, t->gpus, t->mem_gb, t->boot_s);
+  }
+}
+
+/* Machines to be rented for so many tasks; they go into the plan as if they were on their way. */
+static void plan_hire(Bins *bins, const Offer *o, guint tasks) {
+  guint n = (tasks + o->slots - 1) / o->slots;
+  bin_add(bins, BIN_COMING, o->type, o->zone, o->spot, n, o->type->cpus, o->type->gpus, o->type->mem_gb, o->ready_s);
+  for (guint i = 0; i < bins->hire->len; i++) {
+    Bin *h = &g_array_index(bins->hire, Bin, i);
+    if (h->key.type == o->type && h->key.spot == (guint32)o->spot && g_str_equal(h->key.zone, o->zone)) {
+      h->count += n;
+      return;
     }
   }
+  Bin h = {.key = {.type = o->type, .zone = o->zone, .spot = (guint32)o->spot}, .count = n};
+  g_array_append_val(bins->hire, h);
 }
 
-static void demand(FkController *c, GArray *bins) {
-  FkFleet *f = c->fleet;
+/* Headroom for services: room for the next ones, or work there that they may displace. */
+static void plan_headroom(FkController *c, Bins *bins) {
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->fleet->rates);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    Rate *r = p;
+    guint want = (guint)CLAMP(ceil(r->rate * c->settings->tuning.headroom_s), 1, 2000) * MAX(1, MIN(r->spec->tasks, 8));
+    while (want) {
+      int at = bin_earliest(bins, r->spec);
+      Offer offer;
+      if (at < 0) {
+        if (!bin_offer(c, r->spec, want, FALSE, &offer))
+          break;
+        plan_hire(bins, &offer, want);
+        if ((at = bin_earliest(bins, r->spec)) < 0)
+          break;
+      }
+      want -= bin_use(bins, at, r->spec, want, 0);
+    }
+  }
+}
+
+static void plan_job(FkController *c, Bins *bins, FkJob *j, double *used) {
+  const FkSpec *s = j->spec;
+  FkTeam *team = fk_settings_team(c->settings, s->team);
+  guint32 waiting = fk_job_waiting(j);
+  if (s->cpus > 0)
+    waiting = (guint32)MIN((double)waiting, floor(MAX(0, team->cpus_max - *used) / s->cpus + 1e-6));
+  Offer soonest;
+  double ready = bin_offer(c, s, fk_job_waiting(j), FALSE, &soonest) ? soonest.ready_s : 60;
+  double patience = patience_s(c, j, ready), run_s = fk_view_run_s(c->view, s);
+  while (waiting) {
+    int b = bin_earliest(bins, s);
+    double at = b >= 0 ? g_array_index(bins->list, Bin, b).at : G_MAXDOUBLE;
+    /* spot is cheap: not so much patience there */
+    gboolean dear = at > patience, cheap = at > patience * c->settings->tuning.spot_patience;
+    Offer offer;
+    if ((dear || (cheap && s->spot)) && bin_offer(c, s, waiting, !dear, &offer) && offer.ready_s < at) {
+      plan_hire(bins, &offer, waiting);
+      b = bin_earliest(bins, s);
+    }
+    if (b < 0)
+      break;
+    guint n = bin_use(bins, b, s, waiting, run_s);
+    waiting -= n;
+    *used += n * s->cpus;
+  }
+}
+
+static void demand(FkController *c, Bins *bins) {
   GHashTableIter it;
   gpointer p;
   add_machines(c, bins);
@@ -460,76 +576,29 @@
     if (fk_job_waiting(p) && fk_settings_team(c->settings, ((FkJob *)p)->spec->team))
       g_ptr_array_add(jobs, p);
   g_ptr_array_sort(jobs, rank_order);
-  /* headroom for services comes first: room for the next ones, or work there that they may displace */
-  g_hash_table_iter_init(&it, f->rates);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    Rate *r = p;
-    guint want =
-        (guint)CLAMP(ceil(r->rate * c->settings->tuning.headroom_s), 1, 50) * MAX(1, MIN(r->spec->tasks, 8));
-    for (guint k = 0; k < want; k++) {
-      Bin *b = bin_earliest(c, bins, r->spec), offer;
-      if (!b) {
-        if (!bin_offer(c, r->spec, want - k, FALSE, &offer))
-          break;
-        g_array_append_val(bins, offer);
-        b = &g_array_index(bins, Bin, bins->len - 1);
-      }
-      bin_use(bins, b, r->spec, 0);
-    }
-  }
-  g_autoptr(GHashTable) planned =
-      g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free); /* team -> cpus */
-  guint budget = 2000;
-  for (guint i = 0; i < jobs->len && budget; i++) {
+  plan_headroom(c, bins);
+  g_autoptr(GHashTable) planned = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free); /* team -> cpus */
+  for (guint i = 0; i < jobs->len && i < PLAN_JOBS; i++) {
     FkJob *j = jobs->pdata[i];
-    const FkSpec *s = j->spec;
-    FkTeam *team = fk_settings_team(c->settings, s->team);
-    double *used = g_hash_table_lookup(planned, team->name);
+    double *used = g_hash_table_lookup(planned, j->spec->team);
     if (!used) {
       used = g_new(double, 1);
-      *used = fk_view_team(c->view, s->team)->cpus;
-      g_hash_table_insert(planned, team->name, used);
-    }
-    Bin soonest;
-    double ready = bin_offer(c, s, fk_job_waiting(j), FALSE, &soonest) ? soonest.at : 60;
-    double patience = patience_s(c, j, ready), run_s = fk_view_run_s(c->view, s);
-    for (guint32 waiting = fk_job_waiting(j); waiting && budget && *used + s->cpus <= team->cpus_max + 1e-6;
-         waiting--) {
-      budget--;
-      Bin *b = bin_earliest(c, bins, s), offer;
-      double at = b ? b->at : G_MAXDOUBLE;
-      /* spot is cheap: not so much patience there */
-      gboolean dear = at > patience, cheap = at > patience * c->settings->tuning.spot_patience;
-      if ((dear || (cheap && s->spot)) && bin_offer(c, s, waiting, !dear, &offer) && offer.at < at) {
-        g_array_append_val(bins, offer);
-        b = &g_array_index(bins, Bin, bins->len - 1);
-      }
-      if (!b)
-        break;
-      bin_use(bins, b, s, run_s);
-      *used += s->cpus;
+      *used = fk_view_team(c->view, j->spec->team)->cpus;
+      g_hash_table_insert(planned, j->spec->team, used);
     }
+    plan_job(c, bins, j, used);
   }
 }
 
 /* ------------------------------------------------------------------ returning */
 
-static void mark_idle(FkController *c, FkMachine *m, const char *why) {
-  FkOut *t = fk_txn_new(c, FK_PRIO_RESULT);
-  FkRecord *r = fk_record_new(FK_KEY_MARK);
-  r->why = g_strdup(why);
-  r->notice_s = -1;
-  fk_txn_guard(t, fk_key(FK_KEY_MACHINE, m->id), m->rev);
-  fk_txn_put(t, fk_key(FK_KEY_MARK, m->id), r, (FkRev){0});
-  fk_txn_send(c, t, fk_ignore_commit, NULL, NULL);
-}
-
+/* The cloud's 200 is proof that the machine, and all that was on it, is gone. Its home releases what is booked there,
+ * then its description goes. */
 static void forget_machine(FkController *c, FkMachine *m) {
-  FkOut *t = fk_txn_new(c, FK_PRIO_LAUNCH);
-  fk_txn_guard(t, fk_key(FK_KEY_MACHINE, m->id), m->rev);
-  fk_txn_delete(t, fk_key(FK_KEY_MACHINE, m->id));
-  fk_txn_delete(t, fk_key(FK_KEY_MARK, m->id));
-  fk_txn_send(c, t, fk_ignore_commit, NULL, NULL);
+  if (m->books->len)
+    fk_roster_mark(c, m, FK_MARK_GONE, -1);
+  else
+    fk_roster_remove(c, m);
 }
 
 void fk_controller_returned(FkController *c, FkTime now, guint64 call, FkOutcome o) {
@@ -544,7 +613,6 @@
     g_hash_table_remove(f->returning, names->pdata[i]);
     if (o != FK_OK)
       continue;
-    /* the cloud's 200 is proof that the machine, and all that was on it, is gone */
     FkTime *when = g_new(FkTime, 1);
     *when = now;
     g_hash_table_replace(f->gone, g_strdup(names->pdata[i]), when);
@@ -576,11 +644,8 @@
     FkMachine *m = p;
     if (!m->rec || !m->mark || names->len >= 100)
       continue;
-    if (g_hash_table_contains(f->gone, m->id)) {
-      if (fk_time_between(*(FkTime *)g_hash_table_lookup(f->gone, m->id), c->now) > 1) {
-        ((FkTime *)g_hash_table_lookup(f->gone, m->id))->us = c->now.us;
-        forget_machine(c, m);
-      }
+    if (g_hash_table_contains(f->gone, m->id) || g_str_equal(m->mark, FK_MARK_GONE)) {
+      forget_machine(c, m);
       continue;
     }
     if (g_hash_table_contains(f->returning, m->id) || g_str_equal(m->mark, "notice"))
@@ -617,33 +682,50 @@
   f->return_next = fk_time_add(c->now, 0.7);
 }
 
-static void hire_fresh(FkController *c, GArray *bins) {
+#define HIRES_MAX 3 /* requests a tick */
+
+static void hire_planned(FkController *c, const Bins *bins) {
   guint requests = 0;
-  for (guint i = 0; i < bins->len && requests < 3; i++) {
-    Bin *b = &g_array_index(bins, Bin, i);
-    if (!b->fresh)
-      continue;
-    guint count = 0;
-    for (guint k = i; k < bins->len; k++) {
-      Bin *o = &g_array_index(bins, Bin, k);
-      if (o->fresh && o->spot == b->spot && g_str_equal(o->type, b->type) && g_str_equal(o->zone, b->zone)) {
-        count++;
-        if (k > i)
-          o->fresh = FALSE;
-      }
+  for (guint i = 0; i < bins->hire->len; i++) {
+    Bin *h = &g_array_index(bins->hire, Bin, i);
+    while (h->count && requests < HIRES_MAX) {
+      guint n = MIN(h->count, 50);
+      rent(c, h->key.type->name, h->key.zone, h->key.spot, n);
+      h->count -= n;
+      requests++;
     }
-    rent(c, b->type, b->zone, b->spot, count);
-    requests++;
   }
 }
 
-static void give_back_idle(FkController *c, GArray *bins) {
-  for (guint i = 0; i < bins->len; i++) {
-    Bin *b = &g_array_index(bins, Bin, i);
-    FkMachine *m = b->id && !b->used ? fk_view_machine(c->view, b->id) : NULL;
-    if (m && !m->books->len && m->pend_cpus <= 0 &&
+static int longest_idle(gconstpointer a, gconstpointer b) {
+  const FkMachine *x = *(FkMachine *const *)a, *y = *(FkMachine *const *)b;
+  return x->idle_since.us < y->idle_since.us ? -1 : x->idle_since.us > y->idle_since.us;
+}
+
+/* Idle machines that the plan has no use for, those idle for longest first. */
+static void give_back_idle(FkController *c, const Bins *bins) {
+  g_autoptr(GPtrArray) idle = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkMachine *m = p;
+    if (m->rec && !m->mark && !m->books->len && m->pend_cpus <= 0 && fk_type_of(c, m) &&
         fk_time_between(m->idle_since, c->now) > c->settings->tuning.idle_s * (m->rec->spot ? 4 : 1))
-      mark_idle(c, m, "idle");
+      g_ptr_array_add(idle, m);
+  }
+  g_ptr_array_sort(idle, longest_idle);
+  for (guint i = 0; i < bins->list->len; i++) {
+    const Bin *b = &g_array_index(bins->list, Bin, i);
+    guint spare = b->key.kind == BIN_IDLE ? b->count : 0;
+    for (guint k = 0; k < idle->len && spare; k++) {
+      FkMachine *m = idle->pdata[k];
+      if (!m || m->type != b->key.type || m->rec->spot != (gboolean)b->key.spot || !g_str_equal(m->rec->zone, b->key.zone))
+        continue;
+      fk_roster_mark(c, m, "idle", -1);
+      idle->pdata[k] = NULL;
+      spare--;
+    }
   }
 }
 
@@ -666,9 +748,13 @@
   if (!fk_time_reached(c->now, f->next) || !g_hash_table_size(c->types))
     return;
   f->next = fk_time_add(c->now, TICK_S);
-  learn_rates(c);
-  g_autoptr(GArray) bins = g_array_new(FALSE, TRUE, sizeof(Bin));
-  demand(c, bins);
-  hire_fresh(c, bins);
-  give_back_idle(c, bins);
+  learn_rates(c, TICK_S);
+  Bins bins = {g_array_new(FALSE, TRUE, sizeof(Bin)), g_hash_table_new_full(bin_hash, bin_equal, g_free, NULL),
+               g_array_new(FALSE, TRUE, sizeof(Bin))};
+  demand(c, &bins);
+  hire_planned(c, &bins);
+  give_back_idle(c, &bins);
+  g_array_unref(bins.list);
+  g_array_unref(bins.hire);
+  g_hash_table_unref(bins.index);
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -21,17 +21,12 @@
   GHashTable
       *unsure; /* starts that may still arrive: "job/task#attempt" -> the token that they were sent under */
   GHashTable *sending; /* starts in the direct call under way */
-  GHashTable *ending;  /* attempts whose end was sent to the store -> the claim's revision (guint64*) */
   GHashTable *offered; /* starts in the answer to the latest report */
   guint64 offered_seq;
   FkTime command_after;
-  gboolean committing; /* a transaction about this machine's bookings is under way */
-  FkRev commit_rev;    /* ... and the view must reach this before the next */
-  gboolean claiming;
-  guint failures; /* tasks that failed here in a row */
-  gboolean marking;
-  FkTime mark_after;
-  FkTime claim_after;
+  guint failures;      /* tasks that failed here in a row */
+  FkRev rev;           /* the claim, and since when */
+  FkTime claimed_at;
 };
 
 typedef struct {
@@ -47,11 +42,15 @@
 } FkRedirect;
 
 typedef struct FkFleet FkFleet;
+typedef struct FkEnding FkEnding;
+
+#define FK_MARK_GONE "gone" /* proven gone; what is booked there is released, then its description goes */
 
 typedef struct {
   const char *machine; /* interned */
   const char *team;    /* interned */
   double cpus, gpus, mem_gb;
+  double cpus_team; /* of those, what counts against the team */
 } FkPend;
 
 struct FkController {
@@ -89,14 +88,35 @@
 
   /* users */
   GQueue *verify; /* waiting FkAsk */
+  guint launches, launch_conflicts, launch_failures; /* in this window */
   gboolean verifying;
+  FkTime verify_after;
+
+  guint txns[FK_PRIO_RESULT + 1], txn_writes[FK_PRIO_RESULT + 1]; /* in this window, by purpose */
 
   /* workers */
   GQueue *held;          /* FkHeldReport: waiting for a claim */
   GHashTable *redirects; /* machine -> FkRedirect */
   GHashTable *commands;  /* call -> machine id (interned) */
 
+  GHashTable *ended;     /* attempt -> FkEnding: proven, to be written down */
+  gboolean ends_sending;
+  guint ends_page;
+  FkRev ends_wait;
+  FkTime ends_after;
+  gboolean claiming;
+  FkRev claims_wait;
+  FkTime claims_after, take_back_after, ready_since;
+  gboolean roster_sending;
+  FkRev roster_wait;
+  FkTime roster_after;
+  gboolean splitting;
+  FkRev split_wait;
+  guint slice; /* of the machines, to be looked through next */
+
   /* launches */
+  gboolean fence_needed, fencing; /* a launch may yet apply: a write of our fence makes that impossible */
+  FkRev fence_wait;
   gboolean launching;
   FkRev launch_wait;
   FkTime launch_after;
@@ -123,7 +143,7 @@
   FkTime sweep_next;
   gboolean stopping;
   FkRev stop_wait;
-  FkTime stop_after;
+  FkTime stop_after, stop_look;
   gboolean finalizing;
   FkRev finalize_wait;
 };
@@ -138,6 +158,7 @@
 void fk_get_send(FkController *c, char *path /* taken */, FkGot done, gpointer data,
                  GDestroyNotify free_data);
 gboolean fk_ready(FkController *c);
+guint fk_controllers(FkController *c); /* how many live */
 /* The latest moment at which nothing can have been decided that our view doesn't show. */
 FkTime fk_confirmed(FkController *c);
 gboolean fk_alive(FkController *c, const char *node);
@@ -146,6 +167,29 @@
 /* Ends a job whose tasks are all done, or that is cancelled with none left, in `t`. */
 gboolean fk_txn_finalize(FkController *c, FkOut *t, FkJob *j, guint writes_left);
 
+/* claims.c */
+gboolean fk_group_mine(FkController *c, const FkGroup *g);
+const char *fk_group_preferred(FkController *c, const FkGroup *g);
+void fk_claims_tick(FkController *c);
+
+/* roster.c */
+/* Seconds that so many writes must last, when all controllers together may use `share` of the budget. */
+double fk_pace_s(FkController *c, guint writes, double share);
+void fk_roster_join(FkController *c, FkMachine *m, const FkReport *r);
+void fk_roster_mark(FkController *c, FkMachine *m, const char *why, double notice_s);
+void fk_roster_remove(FkController *c, FkMachine *m);
+void fk_roster_tick(FkController *c);
+
+/* ends.c */
+char *fk_attempt_key(const char *job, guint32 task, FkAttempt attempt);
+gboolean fk_ending(FkController *c, const FkMachine *m, const FkBookRef *b);
+void fk_end_book(FkController *c, const FkMachine *m, const FkBookRef *b, gboolean done, gboolean guarded);
+void fk_ends_tick(FkController *c);
+void fk_ending_free(gpointer e);
+
+/* quota.c */
+void fk_quota_tick(FkController *c);
+
 /* home.c */
 void fk_homes_tick(FkController *c);
 void fk_homes_view_changed(FkController *c);
@@ -178,4 +222,3 @@
 void fk_fleet_free(FkFleet *f);
 void fk_fleet_tick(FkController *c);
 void fk_fleet_reset(FkController *c);
-void fk_ignore_commit(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -76,18 +76,18 @@
   return task >= c->first && task < c->first + c->count;
 }
 
-gboolean fk_chunk_book_as(FkChunk *c, guint32 task, const char *machine, FkAttempt attempt) {
+gboolean fk_chunk_book_as(FkChunk *c, guint32 task, const char *machine, const char *by, FkAttempt attempt) {
   /* One booking a task, ever: this is what keeps a task from running twice. */
   if (!in_range(c, task) || c->done[task - c->first] || fk_chunk_find(c, task))
     return FALSE;
-  FkBooking b = {task, attempt, g_intern_string(machine), FALSE, {0}};
+  FkBooking b = {task, attempt, g_intern_string(machine), g_intern_string(by), FALSE, {0}};
   g_array_append_val(c->bookings, b);
   c->next_attempt = MAX(c->next_attempt, attempt.n + 1);
   return TRUE;
 }
 
-gboolean fk_chunk_book(FkChunk *c, guint32 task, const char *machine) {
-  return fk_chunk_book_as(c, task, machine, (FkAttempt){c->next_attempt});
+gboolean fk_chunk_book(FkChunk *c, guint32 task, const char *machine, const char *by) {
+  return fk_chunk_book_as(c, task, machine, by, (FkAttempt){c->next_attempt});
 }
 
 gboolean fk_chunk_release(FkChunk *c, guint32 task, FkAttempt attempt) {
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -40,6 +40,7 @@
   guint32 task;
   FkAttempt attempt;
   const char *machine; /* interned */
+  const char *by;      /* interned: the controller that launched it; its share of the team's limit pays */
   gboolean stop;       /* a controller decided that the task must leave */
   FkTime since;        /* when this controller first saw it; not in the store */
 } FkBooking;
@@ -61,9 +62,9 @@
 FkBooking *fk_chunk_find(const FkChunk *c, guint32 task);
 
 /* The legal changes. Each returns FALSE, and changes nothing, when the change isn't legal. */
-gboolean fk_chunk_book(FkChunk *c, guint32 task, const char *machine);
+gboolean fk_chunk_book(FkChunk *c, guint32 task, const char *machine, const char *by);
 /* A gang's tasks start together only under one number; it must be above all earlier ones. */
-gboolean fk_chunk_book_as(FkChunk *c, guint32 task, const char *machine, FkAttempt attempt);
+gboolean fk_chunk_book_as(FkChunk *c, guint32 task, const char *machine, const char *by, FkAttempt attempt);
 gboolean fk_chunk_release(FkChunk *c, guint32 task, FkAttempt attempt);
 gboolean fk_chunk_finish(FkChunk *c, guint32 task, FkAttempt attempt);
 /* Asks a booked task to leave; the booking stays until the task has. */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -2,6 +2,8 @@
  * Nothing is unsafe when two controllers think they lead: every decision is guarded by itself. */
 #include "core/internal.h"
 
+#include <string.h>
+
 static void leader_put(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
   c->leader_pending = FALSE;
   c->leader_retry = fk_time_add(c->now, o == FK_OK || o == FK_CONFLICT ? 0.1 : 0.5);
@@ -128,6 +130,14 @@
     fk_txn_put(t, fk_key(FK_KEY_WAITS, c->settings->node), r, c->hold);
     fk_txn_send(c, t, waits_put, NULL, NULL);
   }
+  g_info("launches %u, refused %u, failed %u; to write down: %u ends", c->launches, c->launch_conflicts,
+         c->launch_failures, g_hash_table_size(c->ended));
+  c->launches = c->launch_conflicts = c->launch_failures = 0;
+  g_info("store, transactions and writes: holds %u/%u, users %u/%u, claims %u/%u, launches and pages %u/%u, ends %u/%u",
+         c->txns[0], c->txn_writes[0], c->txns[1], c->txn_writes[1], c->txns[2], c->txn_writes[2], c->txns[3],
+         c->txn_writes[3], c->txns[4], c->txn_writes[4]);
+  memset(c->txns, 0, sizeof c->txns);
+  memset(c->txn_writes, 0, sizeof c->txn_writes);
   c->wait_sum = 0;
   c->wait_count = 0;
   if (c->leading) {
@@ -148,7 +158,7 @@
 static void sweep(FkController *c) {
   if (c->finalizing || c->view->applied.n < c->finalize_wait.n || !fk_time_reached(c->now, c->sweep_next))
     return;
-  c->sweep_next = fk_time_add(c->now, 0.5);
+  c->sweep_next = fk_time_add(c->now, 0.3);
   GHashTableIter it;
   gpointer key, p;
   FkOut *t = NULL;
@@ -161,7 +171,7 @@
       t = fk_txn_new(c, FK_PRIO_RESULT);
     if (!fk_txn_finalize(c, t, j, c->settings->txn_ops - t->writes->len))
       break;
-    if (t->writes->len + 4 > MIN(c->settings->txn_ops, 16))
+    if (t->writes->len + 4 > c->settings->txn_ops)
       break;
   }
   if (!t && g_hash_table_size(c->view->orphans)) {
@@ -175,6 +185,7 @@
   if (!t)
     return;
   c->finalizing = TRUE;
+  c->sweep_next = fk_time_add(c->now, MIN(2.0, t->writes->len / (0.4 * c->settings->state_write_rps)));
   fk_txn_send(c, t, finalized, NULL, NULL);
 }
 
@@ -310,7 +321,7 @@
   best->pend_cpus += j->spec->cpus;
   best->pend_gpus += j->spec->gpus;
   best->pend_mem += j->spec->mem_gb;
-  FkPend p = {best->id, g_intern_string(j->spec->team), j->spec->cpus, j->spec->gpus, j->spec->mem_gb};
+  FkPend p = {best->id, g_intern_string(j->spec->team), j->spec->cpus, j->spec->gpus, j->spec->mem_gb, 0};
   g_array_append_val(c->pending, p);
 }
 
@@ -339,6 +350,9 @@
 
 /* What must leave its machine although its job goes on. */
 static void stop_tasks(FkController *c) {
+  if (!fk_time_reached(c->now, c->stop_look))
+    return;
+  c->stop_look = fk_time_add(c->now, 0.1 + 1e-4 * g_hash_table_size(c->view->machines));
   if (c->stopping || c->view->applied.n < c->stop_wait.n || !fk_time_reached(c->now, c->stop_after))
     return;
   Stops stops = {0};
@@ -346,13 +360,17 @@
   leave_noticed(c, &stops);
   GHashTableIter it;
   gpointer p;
+  guint looks = 8; /* each looks at all machines */
   g_hash_table_iter_init(&it, c->view->jobs);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkJob *j = p;
     /* a gang that lost a member can't go on: all start again together */
     if (j->spec->shape == FK_SHAPE_SERVICE && fk_job_waiting(j) && fk_time_reached(c->now, j->retry_at) &&
-        !c->launching && c->view->applied.n >= c->launch_wait.n)
+        !c->launching && c->view->applied.n >= c->launch_wait.n &&
+        fk_time_between(j->preempted, c->now) >= PREEMPT_S && looks) {
+      looks--;
       preempt_for(c, &stops, j, machines);
+    }
     if (j->spec->shape == FK_SHAPE_GANG && !j->cancelled && j->booked && fk_job_waiting(j) &&
         fk_time_reached(c->now, fk_time_add(j->gang_until, 2)))
       stop_all_of(c, &stops, j);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -4,14 +4,18 @@
 #include "core/internal.h"
 
 #include <math.h>
+#include <string.h>
 
 #define EPS 1e-6
 #define QUEUE_MAX 24      /* probes a machine */
 #define TXN_BYTES 40000   /* of the store's 64 KiB */
 #define GANG_LAUNCH_S 8.0 /* all transactions of one gang's launch */
 
+/* Types are never freed while the controller lives, so that a machine can keep its own at hand. */
 const FkType *fk_type_of(FkController *c, const FkMachine *m) {
-  return m->rec ? g_hash_table_lookup(c->types, m->rec->type) : NULL;
+  if (!m->type && m->rec)
+    ((FkMachine *)m)->type = g_hash_table_lookup(c->types, m->rec->type);
+  return m->rec ? m->type : NULL;
 }
 
 gboolean fk_job_fits_type(const FkSpec *s, const FkType *t) {
@@ -55,13 +59,29 @@
          m->mem_gb + m->pend_mem + s->mem_gb <= t->mem_gb + EPS;
 }
 
-gboolean fk_team_allows(FkController *c, const FkSpec *s) {
+/* CPUs of a team that this controller may book: what is left of the limit, or of its own share when the limit is
+ * split. */
+static double team_left(FkController *c, const FkTeam *team, const FkTeamUse *use) {
+  if (!use->split)
+    return team->cpus_max - use->cpus - use->pend_cpus;
+  double *share = g_hash_table_lookup(use->split, c->settings->node);
+  double *mine = g_hash_table_lookup(use->by, g_intern_string(c->settings->node));
+  return (share ? *share : 0) - (mine ? *mine : 0) - use->pend_cpus;
+}
+
+static gboolean team_allows(FkController *c, const FkSpec *s, guint32 tasks) {
   FkTeam *team = fk_settings_team(c->settings, s->team);
   FkTeamUse *use = fk_view_team(c->view, s->team);
-  return team && use->cpus + use->pend_cpus + s->cpus <= team->cpus_max + EPS &&
-         use->gpus + use->pend_gpus + s->gpus <= team->gpus_max + EPS;
+  if (!team || use->gpus + use->pend_gpus + tasks * s->gpus > team->gpus_max + EPS)
+    return FALSE;
+  if (tasks * s->cpus <= team_left(c, team, use) + EPS)
+    return TRUE;
+  use->starved |= use->split && use->cpus + use->pend_cpus + tasks * s->cpus <= team->cpus_max + EPS;
+  return FALSE;
 }
 
+gboolean fk_team_allows(FkController *c, const FkSpec *s) { return team_allows(c, s, 1); }
+
 /* ------------------------------------------------------------------ the transaction in the making */
 
 typedef struct {
@@ -77,6 +97,7 @@
 typedef struct {
   double wait_sum;
   guint64 wait_count;
+  guint writes;
 } LaunchCall;
 
 static gboolean batch_full(FkController *c, const Batch *b) {
@@ -104,8 +125,10 @@
     }
     if (batch_full(c, b))
       return FALSE;
-    if (!b->txn)
+    if (!b->txn) {
       b->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
+      fk_txn_guard(b->txn, fk_key(FK_KEY_FENCE, c->settings->node), fk_view_fence(c->view, c->settings->node));
+    }
     if (!copy) {
       copy = ch ? fk_chunk_copy(ch) : fk_chunk_new(i * j->spec->chunk, fk_spec_chunk_tasks(j->spec, i));
       FkRecord *r = fk_record_new(FK_KEY_CHUNK);
@@ -118,20 +141,23 @@
     }
     if (!g_hash_table_contains(b->teams, j->spec->team)) {
       FkTeamUse *use = fk_view_team(c->view, j->spec->team);
-      FkRecord *r = fk_record_new(FK_KEY_TEAM);
       fk_txn_guard(b->txn, fk_key(FK_KEY_TEAM, j->spec->team), use->rev);
-      fk_txn_put(b->txn, fk_key(FK_KEY_TEAM, j->spec->team), r, (FkRev){0});
+      /* A shared limit is kept by every launch changing the team's record; a split one by nobody changing it. */
+      if (!use->split)
+        fk_txn_put(b->txn, fk_key(FK_KEY_TEAM, j->spec->team), fk_record_new(FK_KEY_TEAM), (FkRev){0});
       g_hash_table_add(b->teams, (gpointer)g_intern_string(j->spec->team));
       b->bytes += 200;
     }
     for (guint32 task = copy->first; task < copy->first + copy->count; task++)
-      if (j->spec->shape == FK_SHAPE_GANG ? fk_chunk_book_as(copy, task, m->id, j->gang_attempt)
-                                          : fk_chunk_book(copy, task, m->id))
+      if (j->spec->shape == FK_SHAPE_GANG
+              ? fk_chunk_book_as(copy, task, m->id, c->settings->node, j->gang_attempt)
+              : fk_chunk_book(copy, task, m->id, c->settings->node))
         break;
-    fk_txn_guard(b->txn, fk_key(FK_KEY_MACHINE, m->id), m->rev);
-    b->bytes += 120;
+    fk_txn_guard(b->txn, fk_key(FK_KEY_GROUP, m->group->id), m->group->rev);
+    b->bytes += 60;
     b->booked++;
-    FkPend p = {m->id, g_intern_string(j->spec->team), j->spec->cpus, j->spec->gpus, j->spec->mem_gb};
+    FkPend p = {m->id,          g_intern_string(j->spec->team), j->spec->cpus, j->spec->gpus,
+                j->spec->mem_gb, j->spec->cpus};
     g_array_append_val(c->pending, p);
     m->pend_cpus += p.cpus;
     m->pend_gpus += p.gpus;
@@ -167,6 +193,15 @@
 static void launched(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
   LaunchCall *call = data;
   c->launching = FALSE;
+  c->launches++;
+  if (o == FK_CONFLICT) {
+    c->launch_conflicts++;
+    g_debug("launch refused: %s", failed && failed->len ? (char *)failed->pdata[0] : "?");
+  }
+  if (o != FK_OK && o != FK_CONFLICT)
+    c->launch_failures++;
+  if (o == FK_UNKNOWN)
+    c->fence_needed = TRUE; /* it may yet apply: not beside the next one */
   if (o == FK_OK || o == FK_CONFLICT)
     c->launch_wait = epoch; /* what comes next is decided on a view that shows this */
   else
@@ -179,17 +214,12 @@
 
 /* ------------------------------------------------------------------ order of jobs */
 
-static int job_order(gconstpointer a, gconstpointer b, gpointer data) {
-  FkController *c = data;
+static int job_order(gconstpointer a, gconstpointer b) {
   const FkJob *x = *(FkJob *const *)a, *y = *(FkJob *const *)b;
   if (x->spec->rank != y->spec->rank)
     return (int)x->spec->rank - (int)y->spec->rank;
-  gboolean gx =
-      fk_view_team(c->view, x->spec->team)->cpus < fk_settings_team(c->settings, x->spec->team)->cpus;
-  gboolean gy =
-      fk_view_team(c->view, y->spec->team)->cpus < fk_settings_team(c->settings, y->spec->team)->cpus;
-  if (gx != gy)
-    return gx ? -1 : 1;
+  if (x->below != y->below)
+    return x->below ? -1 : 1;
   gboolean hope_x = x->latest_s < G_MAXDOUBLE, hope_y = y->latest_s < G_MAXDOUBLE;
   if (hope_x != hope_y)
     return hope_x ? -1 : 1;
@@ -224,11 +254,14 @@
     if (fk_job_waiting(j) && fk_time_reached(c->now, j->retry_at) &&
         fk_settings_team(c->settings, j->spec->team)) {
       j->latest_s = fk_job_latest_start(c, j, 1.0);
+      j->below = fk_view_team(c->view, j->spec->team)->cpus < fk_settings_team(c->settings, j->spec->team)->cpus;
       j->left_cpu_s = fk_job_waiting(j) * fk_view_run_s(c->view, j->spec) * j->spec->cpus;
       g_ptr_array_add(jobs, j);
     }
   }
-  g_ptr_array_sort_with_data(jobs, job_order, c);
+  g_ptr_array_sort(jobs, job_order);
+  for (guint i = 0; i < jobs->len; i++)
+    ((FkJob *)jobs->pdata[i])->place = i + 1;
   return jobs;
 }
 
@@ -288,7 +321,7 @@
     for (guint k = 0; j->chunks[i] && k < j->chunks[i]->bookings->len; k++) {
       FkMachine *m = fk_view_machine(c->view, g_array_index(j->chunks[i]->bookings, FkBooking, k).machine);
       if (m && m->rec)
-        g_hash_table_insert(zones, m->rec->zone,
+        g_hash_table_insert(zones, (gpointer)m->rec->zone,
                             GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(zones, m->rec->zone)) + 1));
     }
   while (plan->len < waiting) {
@@ -300,7 +333,7 @@
       g_ptr_array_remove_fast(open, m);
       continue;
     }
-    g_hash_table_insert(zones, m->rec->zone, GUINT_TO_POINTER(in_zone + 1));
+    g_hash_table_insert(zones, (gpointer)m->rec->zone, GUINT_TO_POINTER(in_zone + 1));
     promise(m, j->spec, 1);
     g_ptr_array_add(plan, m);
   }
@@ -311,14 +344,11 @@
 
 /* A gang is placed whole: a part of it would only wait on its machines. */
 static void place_gang(FkController *c, Batch *b, FkJob *j, GPtrArray *machines) {
-  FkTeam *team = fk_settings_team(c->settings, j->spec->team);
-  FkTeamUse *use = fk_view_team(c->view, j->spec->team);
   guint32 waiting = fk_job_waiting(j);
   /* A launch goes on only while every task that it has booked still is: a task that has left since must not
    * get the same attempt number again. */
   if ((j->booked && (fk_time_reached(c->now, j->gang_until) || j->booked != j->gang_booked)) ||
-      use->cpus + use->pend_cpus + waiting * j->spec->cpus > team->cpus_max + EPS ||
-      use->gpus + use->pend_gpus + waiting * j->spec->gpus > team->gpus_max + EPS)
+      !team_allows(c, j->spec, waiting))
     return;
   g_autoptr(GPtrArray) plan = NULL;
   if (!j->spec->one_zone)
@@ -382,17 +412,31 @@
   return q;
 }
 
+#define TURN_S 0.5
+
+/* A short job is its owner's first. What the owner has no room for goes round: one other controller at a time may
+ * take its tasks, so that they don't all write the same chunk. */
 static gboolean short_is_ours(FkController *c, const FkJob *j) {
   const char *owner = j->spec->owner;
-  return !owner || g_str_equal(owner, c->settings->node) || !fk_alive(c, owner) ||
-         fk_time_between(j->seen, c->now) > c->settings->tuning.steal_after_s;
+  if (!owner || g_str_equal(owner, c->settings->node))
+    return TRUE;
+  if (fk_alive(c, owner) && fk_time_between(j->seen, c->now) <= c->settings->tuning.steal_after_s)
+    return FALSE;
+  guint before = 0, n = c->settings->peers->len + 1;
+  for (guint i = 0; i < c->settings->peers->len; i++)
+    before += strcmp(((FkPeer *)c->settings->peers->pdata[i])->name, c->settings->node) < 0;
+  guint64 turn = (guint64)((c->now.us + c->view->wall_offset_us) / (gint64)(TURN_S * 1e6));
+  return (g_str_hash(j->spec->id) + turn) % n == before;
 }
 
-/* Batch sampling: some of our machines, drawn at random, get a probe of the job in their queues. */
+static gint find_id(gconstpointer a, gconstpointer b) { return strcmp(a, b); }
+
+/* Batch sampling: some of our machines, drawn at random, get a probe of the job in their queues; machines with room
+ * first. */
 static void probe(FkController *c, FkJob *j, GPtrArray *mine) {
   guint want = (guint)ceil(fk_job_waiting(j) * c->settings->tuning.probe_ratio);
-  guint n = mine->len;
-  for (guint i = 0; i < n && want; i++) {
+  guint n = mine->len, tries = MIN(n, 2 * want + 8);
+  for (guint i = 0; i < tries && want; i++) {
     guint k = (guint)g_rand_int_range(c->rand, (gint)i, (gint)n);
     gpointer t = mine->pdata[i];
     mine->pdata[i] = mine->pdata[k];
@@ -401,43 +445,40 @@
     if (!fk_job_allows(c, j, m))
       continue;
     GQueue *q = queue_of(c, m);
-    if (g_queue_find_custom(q, j->spec->id, (GCompareFunc)g_strcmp0)) {
-      want--;
+    if (q->length >= QUEUE_MAX || g_queue_find_custom(q, j->spec->id, find_id)) {
+      want -= q->length < QUEUE_MAX;
       continue;
     }
-    if (q->length >= QUEUE_MAX)
-      continue;
     g_queue_push_tail(q, g_strdup(j->spec->id));
     want--;
   }
 }
 
-typedef struct {
-  FkMachine *m;
-  double load;
-} Loaded;
-
-/* Late binding: a machine with room takes the first task in its queue that is still waiting. */
-static void bind_queue(FkController *c, Batch *b, FkMachine *m, GPtrArray *order) {
+/* Late binding: a machine with room takes the tasks in its queue that are still waiting, in the order of jobs, not
+ * of arrival: ranks and deadlines hold inside a queue too. */
+static void bind_queue(FkController *c, Batch *b, FkMachine *m) {
   GQueue *q = g_hash_table_lookup(c->queues, m->id);
   if (!q || g_queue_is_empty(q))
     return;
-  /* drop what has nothing waiting any more */
+  FkJob *waiting[QUEUE_MAX];
+  guint n = 0;
   for (GList *l = q->head; l;) {
     GList *next = l->next;
     FkJob *j = fk_view_job(c->view, l->data);
-    if (!j || !fk_job_waiting(j)) {
+    if (!j || !fk_job_waiting(j) || n >= QUEUE_MAX) {
       g_free(l->data);
       g_queue_delete_link(q, l);
+    } else if (j->place && fk_time_reached(c->now, j->retry_at)) {
+      guint at = n++;
+      for (; at && waiting[at - 1]->place > j->place; at--)
+        waiting[at] = waiting[at - 1];
+      waiting[at] = j;
     }
     l = next;
   }
-  /* in the order of jobs, not of arrival: ranks and deadlines hold inside a queue too */
-  for (guint i = 0; i < order->len && !batch_full(c, b); i++) {
-    FkJob *j = order->pdata[i];
-    if (fk_spec_long(c, j->spec) || !g_queue_find_custom(q, j->spec->id, (GCompareFunc)g_strcmp0))
-      continue;
-    while (fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) && fk_job_allows(c, j, m) &&
+  for (guint i = 0; i < n && !batch_full(c, b); i++) {
+    FkJob *j = waiting[i];
+    while (short_is_ours(c, j) && fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) && fk_job_allows(c, j, m) &&
            batch_book(c, b, j, m))
       ;
   }
@@ -456,26 +497,63 @@
   return x->cpus > y->cpus ? -1 : x->cpus < y->cpus;
 }
 
+/* The smallest that waits: a machine with less room than this isn't worth a look. */
+static gboolean least_wanted(GPtrArray *jobs, gboolean arrays, double *cpus, double *mem) {
+  gboolean any = FALSE;
+  for (guint i = 0; i < jobs->len; i++) {
+    const FkSpec *s = ((FkJob *)jobs->pdata[i])->spec;
+    if (arrays != (s->shape == FK_SHAPE_ARRAY))
+      continue;
+    *cpus = any ? MIN(*cpus, s->cpus) : s->cpus;
+    *mem = any ? MIN(*mem, s->mem_gb) : s->mem_gb;
+    any = TRUE;
+  }
+  return any;
+}
+
+static gboolean has_room(FkController *c, const FkMachine *m, double cpus, double mem) {
+  const FkType *t = fk_type_of(c, m);
+  return t && m->cpus + m->pend_cpus + cpus <= t->cpus + EPS && m->mem_gb + m->pend_mem + mem <= t->mem_gb + EPS;
+}
+
+#define PROBE_EVERY_S 1.0 /* a job that waits gets further probes, on full machines too */
+
 static void place_short(FkController *c, Batch *b, GPtrArray *jobs, GPtrArray *mine) {
-  g_autoptr(GPtrArray) order = g_ptr_array_copy(mine, NULL, NULL);
+  double cpus = 0, mem = 0;
+  if (!least_wanted(jobs, TRUE, &cpus, &mem))
+    return;
+  g_autoptr(GPtrArray) open = g_ptr_array_new();
+  for (guint i = 0; i < mine->len; i++)
+    if (has_room(c, mine->pdata[i], cpus, mem))
+      g_ptr_array_add(open, mine->pdata[i]);
   for (guint i = 0; i < jobs->len; i++) {
     FkJob *j = jobs->pdata[i];
-    if (!fk_spec_long(c, j->spec) && short_is_ours(c, j))
+    if (fk_spec_long(c, j->spec) || !short_is_ours(c, j))
+      continue;
+    probe(c, j, open);
+    if (fk_time_between(j->probed, c->now) > PROBE_EVERY_S) {
       probe(c, j, mine);
+      j->probed = c->now;
+    }
   }
-  g_ptr_array_sort_with_data(order, by_load, c);
-  for (guint i = 0; i < order->len && !batch_full(c, b); i++)
-    bind_queue(c, b, order->pdata[i], jobs);
+  g_ptr_array_sort_with_data(open, by_load, c);
+  for (guint i = 0; i < open->len && !batch_full(c, b); i++)
+    bind_queue(c, b, open->pdata[i]);
 }
 
 /* ------------------------------------------------------------------ room kept for the long path */
 
 static void keep(FkController *c, GArray *kept, FkMachine *m, const FkSpec *s) {
-  FkPend p = {m ? m->id : NULL, g_intern_string(s->team), s->cpus, s->gpus, s->mem_gb};
+  FkPend p = {m ? m->id : NULL, g_intern_string(s->team), s->cpus, s->gpus, s->mem_gb, s->cpus};
   g_array_append_val(kept, p);
   if (m)
     promise(m, s, 1);
   FkTeamUse *use = fk_view_team(c->view, s->team);
+  if (use->split && s->shape != FK_SHAPE_GANG) {
+    /* it will be paid from the leader's share, not from ours */
+    g_array_index(kept, FkPend, kept->len - 1).cpus_team = 0;
+    return;
+  }
   use->pend_cpus += s->cpus;
   use->pend_gpus += s->gpus;
 }
@@ -490,8 +568,8 @@
       m->pend_gpus -= p->gpus;
       m->pend_mem -= p->mem_gb;
     }
-    use->pend_cpus -= p->cpus;
-    use->pend_gpus -= p->gpus;
+    use->pend_cpus -= p->cpus_team;
+    use->pend_gpus -= p->cpus_team > 0 ? p->gpus : 0;
   }
 }
 
@@ -499,14 +577,14 @@
  * room that they would take, or both would book it and the worker would refuse one ("full"). A gang that must
  * wait keeps its part of the team's limit too: tasks that come one by one would keep it waiting for ever. */
 static void keep_for_long(FkController *c, GPtrArray *jobs, GPtrArray *machines, GArray *kept) {
-  guint budget = 200;
+  guint budget = 24;
   for (guint i = 0; i < jobs->len && budget; i++) {
     FkJob *j = jobs->pdata[i];
     if (j->spec->shape == FK_SHAPE_ARRAY)
       continue;
     for (guint32 k = fk_job_waiting(j); k && budget; k--, budget--) {
       FkMachine *m =
-          c->leading || !fk_team_allows(c, j->spec) ? NULL : fk_best_for_long(c, j, machines, NULL);
+          c->leading ? NULL : fk_best_for_long(c, j, machines, NULL);
       if (m || j->spec->shape == FK_SHAPE_GANG)
         keep(c, kept, m, j->spec);
     }
@@ -515,19 +593,82 @@
 
 /* ------------------------------------------------------------------ */
 
+static void fenced(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
+  c->fencing = FALSE;
+  if (o == FK_OK)
+    c->fence_needed = FALSE;
+  if (o == FK_OK || o == FK_CONFLICT)
+    c->launch_wait = epoch;
+  else
+    c->launch_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.15, 0.5));
+}
+
+/* Launches of this controller, of an earlier life or unanswered, may still be on their way. Every launch is guarded
+ * by our fence: once it has changed, and our view shows that, none of them can apply any more, and those that did
+ * are in our view, so that they count against the team's limit. */
+static void fence(FkController *c) {
+  FkOut *t = fk_txn_new(c, FK_PRIO_CLAIM);
+  char *key = fk_key(FK_KEY_FENCE, c->settings->node);
+  fk_txn_guard(t, g_strdup(key), fk_view_fence(c->view, c->settings->node));
+  fk_txn_put(t, key, fk_record_new(FK_KEY_FENCE), (FkRev){0});
+  c->fencing = TRUE;
+  fk_txn_send(c, t, fenced, NULL, NULL);
+}
+
+#define LAUNCH_SHARE 0.4   /* of the store's write budget */
+#define LOOK_PER_MACHINE 1e-4 /* s: the pause between two looks grows with what there is to look at */
+
+/* The smallest wanted by jobs of other shapes than arrays decides which machines the long path looks at. */
+static GPtrArray *open_for_long(FkController *c, GPtrArray *jobs) {
+  GPtrArray *open = g_ptr_array_new();
+  double cpus = G_MAXDOUBLE, mem = G_MAXDOUBLE;
+  for (guint i = 0; i < jobs->len; i++) {
+    const FkSpec *s = ((FkJob *)jobs->pdata[i])->spec;
+    if (fk_spec_long(c, s)) {
+      cpus = MIN(cpus, s->cpus);
+      mem = MIN(mem, s->mem_gb);
+    }
+  }
+  if (cpus == G_MAXDOUBLE)
+    return open;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p))
+    if (has_room(c, p, cpus, mem) && fk_machine_usable(c, p))
+      g_ptr_array_add(open, p);
+  return open;
+}
+
+static GPtrArray *usable_mine(FkController *c) {
+  GPtrArray *mine = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->groups);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkGroup *g = p;
+    for (guint i = 0; fk_group_mine(c, g) && i < g->machines->len; i++)
+      if (fk_machine_usable(c, g->machines->pdata[i]))
+        g_ptr_array_add(mine, g->machines->pdata[i]);
+  }
+  return mine;
+}
+
 void fk_place(FkController *c) {
-  if (!fk_ready(c) || c->launching || c->view->applied.n < c->launch_wait.n ||
+  if (!fk_ready(c) || c->launching || c->fencing || c->view->applied.n < c->launch_wait.n ||
       !fk_time_reached(c->now, c->launch_after) || !g_hash_table_size(c->types))
     return;
+  if (c->fence_needed) {
+    fence(c);
+    return;
+  }
   pending_clear(c);
   g_autoptr(GPtrArray) jobs = waiting_jobs(c);
   if (!jobs->len)
     return;
-  g_autoptr(GPtrArray) all = fk_usable_machines(c);
-  g_autoptr(GPtrArray) mine = g_ptr_array_new();
-  for (guint i = 0; i < all->len; i++)
-    if (fk_is_mine(c, all->pdata[i]))
-      g_ptr_array_add(mine, all->pdata[i]);
+  c->launch_after = fk_time_add(c->now, MIN(1.0, LOOK_PER_MACHINE * g_hash_table_size(c->view->machines)));
+  g_autoptr(GPtrArray) all = open_for_long(c, jobs);
+  g_autoptr(GPtrArray) mine = usable_mine(c);
   Batch b = {0};
   g_autoptr(GHashTable) chunks = b.chunks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_autoptr(GHashTable) teams = b.teams = g_hash_table_new(g_str_hash, g_str_equal);
@@ -540,7 +681,11 @@
   if (!b.txn)
     return;
   LaunchCall *call = g_new0(LaunchCall, 1);
-  *call = (LaunchCall){b.wait_sum, b.wait_count};
+  *call = (LaunchCall){b.wait_sum, b.wait_count, b.txn->writes->len};
   c->launching = TRUE;
+  /* The leader places all services, so it may write like all the others together. */
+  guint n = c->leading ? 2 : 1 + g_hash_table_size(c->view->nodes);
+  double pace = (b.txn->writes->len - 1) * n / (LAUNCH_SHARE * 2 * c->settings->state_write_rps);
+  c->launch_after = fk_time_add(c->now, MIN(3.0, pace));
   fk_txn_send(c, b.txn, launched, call, g_free);
 }
--- /dev/null
+++ b/src/core/roster.c
@@ -0,0 +1,137 @@
+/* The machines' descriptions, one page a group: machines join, are marked, and go. Changes gather, and several
+ * pages are written by one transaction, so that a hundred machines cost a few puts. */
+#include "core/internal.h"
+
+#include <string.h>
+
+#define PAGES_MAX 12
+#define BYTES_MAX 36000
+#define WRITE_SHARE 0.4 /* of the store's write budget, all controllers together */
+
+double fk_pace_s(FkController *c, guint writes, double share) {
+  return writes * fk_controllers(c) / (share * c->settings->state_write_rps);
+}
+
+/* A home asks for a machine that reports to it to be written down. */
+void fk_roster_join(FkController *c, FkMachine *m, const FkReport *r) {
+  if (m->rec || m->joining || !m->group)
+    return;
+  m->joining = g_new0(FkMachineRec, 1);
+  m->joining->id = g_strdup(m->id);
+  m->joining->addr = g_strdup(r->addr);
+  m->joining->type = g_intern_string(r->type);
+  m->joining->zone = g_intern_string(r->zone);
+  m->joining->spot = r->spot;
+  m->joining->notice_s = -1;
+  m->group->dirty = TRUE;
+}
+
+/* Tells the leader, through the store, why a machine should go; `why` NULL: it needn't any more. */
+void fk_roster_mark(FkController *c, FkMachine *m, const char *why, double notice_s) {
+  if (!m->rec || !m->group)
+    return;
+  const char *mark = why ? g_intern_string(why) : NULL;
+  if (mark == m->mark && !m->want_mark && !m->want_clear)
+    return;
+  if (mark == m->want_mark && m->want_clear == !mark)
+    return;
+  m->want_mark = mark;
+  m->want_clear = !mark;
+  m->want_notice_s = notice_s;
+  m->group->dirty = TRUE;
+}
+
+/* The machine is proven gone, and nothing is booked there any more. */
+void fk_roster_remove(FkController *c, FkMachine *m) {
+  if (!m->rec || !m->group)
+    return;
+  m->want_gone = TRUE;
+  m->group->dirty = TRUE;
+}
+
+/* The page as it should be; NULL when it is so already. */
+static GPtrArray *page_wanted(FkController *c, FkGroup *g, guint *bytes) {
+  g_autoptr(GPtrArray) members = g_ptr_array_new_with_free_func(fk_machine_rec_free);
+  gboolean changed = FALSE, mine = fk_group_mine(c, g);
+  gsize limit = (gsize)(c->settings->value_kb * 1000) - 100;
+  *bytes = 100;
+  for (guint i = 0; i < g->machines->len; i++) {
+    FkMachine *m = g->machines->pdata[i];
+    if (m->joining && (m->rec || !mine))
+      g_clear_pointer(&m->joining, fk_machine_rec_free);
+    if (!m->rec && !m->joining)
+      continue;
+    const FkMachineRec *from = m->rec ? m->rec : m->joining;
+    guint size = (guint)(strlen(from->id) + strlen(from->addr) + strlen(from->type) + 50);
+    if (m->want_gone && m->rec && !m->books->len) {
+      changed = TRUE;
+      continue;
+    }
+    if (!m->rec) {
+      if (*bytes + size > limit) {
+        g_warning("group %s is full: no room for %s", g->id, m->id);
+        continue;
+      }
+      changed = TRUE;
+    }
+    FkMachineRec *r = fk_machine_rec_copy(from);
+    r->mark = m->mark;
+    r->notice_s = m->notice_s;
+    if (m->want_mark == m->mark)
+      m->want_mark = NULL;
+    if (!m->mark)
+      m->want_clear = FALSE;
+    if (m->want_mark || m->want_clear) {
+      r->mark = m->want_mark;
+      r->notice_s = m->want_notice_s;
+      changed = TRUE;
+    }
+    *bytes += size;
+    g_ptr_array_add(members, r);
+  }
+  return changed ? g_steal_pointer(&members) : NULL;
+}
+
+static void written(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
+  c->roster_sending = FALSE;
+  if (o == FK_OK || o == FK_CONFLICT)
+    c->roster_wait = epoch;
+  else
+    c->roster_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.2, 0.5));
+}
+
+void fk_roster_tick(FkController *c) {
+  if (c->roster_sending || c->view->applied.n < c->roster_wait.n || !fk_time_reached(c->now, c->roster_after))
+    return;
+  FkOut *t = NULL;
+  guint bytes = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->groups);
+  while (bytes < BYTES_MAX && (!t || t->writes->len < MIN(c->settings->txn_ops, PAGES_MAX)) &&
+         g_hash_table_iter_next(&it, NULL, &p)) {
+    FkGroup *g = p;
+    if (!g->dirty)
+      continue;
+    guint size;
+    GPtrArray *members = page_wanted(c, g, &size);
+    if (!members) {
+      g->dirty = FALSE;
+      continue;
+    }
+    if (!t)
+      t = fk_txn_new(c, FK_PRIO_LAUNCH);
+    FkRecord *r = fk_record_new(FK_KEY_PAGE);
+    r->members = members;
+    fk_txn_guard(t, fk_key(FK_KEY_PAGE, g->id), g->page_rev);
+    if (fk_group_mine(c, g))
+      fk_txn_guard(t, fk_key(FK_KEY_GROUP, g->id), g->rev);
+    fk_txn_put(t, fk_key(FK_KEY_PAGE, g->id), r, (FkRev){0});
+    bytes += size;
+  }
+  if (!t)
+    return;
+  c->roster_after = fk_time_add(c->now, MIN(3.0, fk_pace_s(c, t->writes->len, WRITE_SHARE)));
+  c->roster_sending = TRUE;
+  fk_txn_send(c, t, written, NULL, NULL);
+}
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -37,7 +37,7 @@
                          .slack = 1.5,
                          .spot_patience = 0.3,
                          .headroom_s = 20,
-                         .silent_s = 6.5};
+                         .silent_s = 0};
   return s;
 }
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -28,7 +28,7 @@
   double headroom_s;    /* arrivals of services during so many seconds find room */
   double slack;         /* times a task's run time that must be left before its job is due */
   double spot_patience; /* share of its patience that a task waits before a spot machine is rented for it */
-  double silent_s;      /* a machine not heard for so long is replaced */
+  double silent_s;      /* a machine not heard for so long is replaced; 0: derived from `report_s` */
 } FkTuning;
 
 typedef struct {
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -11,37 +11,60 @@
   return r;
 }
 
-static void machine_rec_free(FkMachineRec *m) {
+void fk_machine_rec_free(gpointer p) {
+  FkMachineRec *m = p;
   if (!m)
     return;
-  g_free(m->home);
-  g_free(m->life);
-  g_free(m->type);
-  g_free(m->zone);
+  g_free(m->id);
   g_free(m->addr);
   g_free(m);
 }
 
 FkMachineRec *fk_machine_rec_copy(const FkMachineRec *m) {
-  FkMachineRec *c = g_new0(FkMachineRec, 1);
-  c->home = g_strdup(m->home);
-  c->life = g_strdup(m->life);
-  c->type = g_strdup(m->type);
-  c->zone = g_strdup(m->zone);
+  FkMachineRec *c = g_memdup2(m, sizeof *m);
+  c->id = g_strdup(m->id);
   c->addr = g_strdup(m->addr);
-  c->spot = m->spot;
   return c;
 }
 
+FkEnds *fk_ends_new(const char *chunk) {
+  FkEnds *e = g_new0(FkEnds, 1);
+  e->chunk = g_strdup(chunk);
+  e->done = g_byte_array_new();
+  e->released = g_array_new(FALSE, FALSE, sizeof(FkTry));
+  return e;
+}
+
+FkEnds *fk_ends_copy(const FkEnds *e) {
+  FkEnds *c = fk_ends_new(e->chunk);
+  g_byte_array_append(c->done, e->done->data, e->done->len);
+  g_array_append_vals(c->released, e->released->data, e->released->len);
+  return c;
+}
+
+void fk_ends_free(gpointer p) {
+  FkEnds *e = p;
+  if (!e)
+    return;
+  g_free(e->chunk);
+  g_byte_array_unref(e->done);
+  g_array_unref(e->released);
+  g_free(e);
+}
+
 void fk_record_free(FkRecord *r) {
   if (!r)
     return;
   fk_spec_unref(r->spec);
   fk_chunk_free(r->chunk);
-  machine_rec_free(r->machine);
+  if (r->members)
+    g_ptr_array_unref(r->members);
+  if (r->ends)
+    g_ptr_array_unref(r->ends);
+  if (r->split)
+    g_hash_table_unref(r->split);
   g_free(r->node);
   g_free(r->life);
-  g_free(r->why);
   g_free(r);
 }
 
@@ -57,9 +80,10 @@
   FkKeyKind kind;
   const char *prefix;
 } key_prefixes[] = {
-    {FK_KEY_JOB, FK_LIVE "j/"},   {FK_KEY_CHUNK, FK_LIVE "t/"}, {FK_KEY_MACHINE, FK_LIVE "m/"},
-    {FK_KEY_NODE, FK_LIVE "n/"},  {FK_KEY_TEAM, FK_LIVE "q/"},  {FK_KEY_MARK, FK_LIVE "x/"},
-    {FK_KEY_WAITS, FK_LIVE "w/"}, {FK_KEY_FINAL, FK_ROOT "d/"}, {FK_KEY_LEADER, FK_LIVE "leader"},
+    {FK_KEY_JOB, FK_LIVE "j/"},   {FK_KEY_CHUNK, FK_LIVE "t/"}, {FK_KEY_GROUP, FK_LIVE "g/"},
+    {FK_KEY_PAGE, FK_LIVE "m/"},  {FK_KEY_NODE, FK_LIVE "n/"},  {FK_KEY_TEAM, FK_LIVE "q/"},
+    {FK_KEY_ENDS, FK_LIVE "r/"},  {FK_KEY_FENCE, FK_LIVE "f/"}, {FK_KEY_WAITS, FK_LIVE "w/"},
+    {FK_KEY_FINAL, FK_ROOT "d/"}, {FK_KEY_LEADER, FK_LIVE "leader"},
 };
 
 char *fk_key(FkKeyKind kind, const char *id) {
@@ -95,9 +119,12 @@
 
 static void job_free(gpointer p) {
   FkJob *j = p;
-  for (guint32 i = 0; i < j->n_chunks; i++)
+  for (guint32 i = 0; i < j->n_chunks; i++) {
     fk_chunk_free(j->chunks[i]);
+    fk_chunk_free(j->bases[i]);
+  }
   g_free(j->chunks);
+  g_free(j->bases);
   fk_spec_unref(j->spec);
   g_free(j);
 }
@@ -107,14 +134,40 @@
 
 static void machine_free(gpointer p) {
   FkMachine *m = p;
-  machine_rec_free(m->rec);
+  if (m->group)
+    g_ptr_array_remove_fast(m->group->machines, m);
+  fk_machine_rec_free(m->rec);
+  fk_machine_rec_free(m->joining);
   g_array_unref(m->books);
-  g_free(m->mark);
   g_hash_table_unref(m->images);
   fk_home_free(m->home);
   g_free(m);
 }
 
+static void group_free(gpointer p) {
+  FkGroup *g = p;
+  g_free(g->home);
+  g_free(g->life);
+  g_ptr_array_unref(g->machines);
+  g_hash_table_unref(g->back);
+  g_free(g);
+}
+
+static void team_use_free(gpointer p) {
+  FkTeamUse *t = p;
+  g_hash_table_unref(t->by);
+  g_free(t->was_short);
+  if (t->split)
+    g_hash_table_unref(t->split);
+  g_free(t);
+}
+
+static void end_page_free(gpointer p) {
+  FkEndPage *e = p;
+  g_ptr_array_unref(e->ends);
+  g_free(e);
+}
+
 static void node_free(gpointer p) {
   FkNode *n = p;
   g_free(n->name);
@@ -128,7 +181,11 @@
   v->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
   v->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
   v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
-  v->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  v->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
+  v->end_pages = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, end_page_free);
+  v->ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  v->fences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  v->teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, team_use_free);
   v->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   v->finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   v->final_tasks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
@@ -143,6 +200,10 @@
 void fk_view_clear(FkView *v) {
   g_hash_table_remove_all(v->jobs);
   g_hash_table_remove_all(v->machines);
+  g_hash_table_remove_all(v->groups);
+  g_hash_table_remove_all(v->ends);
+  g_hash_table_remove_all(v->end_pages);
+  g_hash_table_remove_all(v->fences);
   g_hash_table_remove_all(v->nodes);
   g_hash_table_remove_all(v->teams);
   g_hash_table_remove_all(v->waits);
@@ -160,6 +221,10 @@
   fk_view_clear(v);
   g_hash_table_unref(v->jobs);
   g_hash_table_unref(v->machines);
+  g_hash_table_unref(v->groups);
+  g_hash_table_unref(v->ends);
+  g_hash_table_unref(v->end_pages);
+  g_hash_table_unref(v->fences);
   g_hash_table_unref(v->nodes);
   g_hash_table_unref(v->teams);
   g_hash_table_unref(v->waits);
@@ -189,10 +254,60 @@
   return m;
 }
 
+void fk_view_drop_machine(FkView *v, FkMachine *m) {
+  g_hash_table_remove(v->touched, m->id);
+  g_hash_table_remove(v->machines, m->id);
+}
+
+#define GROUPS 32 /* a zone; part of the store's layout */
+
+char *fk_group_id(const char *zone, const char *machine) {
+  /* ids that differ in a digit must not fall together: g_str_hash alone is a weak mixer */
+  guint32 h = g_str_hash(machine) * 2654435761u;
+  return g_strdup_printf("%s.%u", zone, (h >> 8) % GROUPS);
+}
+
+FkGroup *fk_view_group(FkView *v, const char *id) {
+  FkGroup *g = g_hash_table_lookup(v->groups, id);
+  if (!g) {
+    g = g_new0(FkGroup, 1);
+    g->id = g_intern_string(id);
+    const char *dot = strrchr(id, '.');
+    g_autofree char *zone = dot ? g_strndup(id, dot - id) : g_strdup(id);
+    g->zone = g_intern_string(zone);
+    g->machines = g_ptr_array_new();
+    g->back = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g_hash_table_insert(v->groups, (gpointer)g->id, g);
+  }
+  return g;
+}
+
+static void join_group(FkMachine *m, FkGroup *g) {
+  if (m->group == g)
+    return;
+  if (m->group)
+    g_ptr_array_remove_fast(m->group->machines, m);
+  m->group = g;
+  g_ptr_array_add(g->machines, m);
+}
+
+void fk_view_set_group(FkView *v, FkMachine *m, const char *zone) {
+  if (m->group)
+    return;
+  g_autofree char *id = fk_group_id(zone, m->id);
+  join_group(m, fk_view_group(v, id));
+}
+
+FkRev fk_view_fence(FkView *v, const char *node) {
+  FkRev *r = g_hash_table_lookup(v->fences, node);
+  return r ? *r : (FkRev){0};
+}
+
 FkTeamUse *fk_view_team(FkView *v, const char *name) {
   FkTeamUse *t = g_hash_table_lookup(v->teams, name);
   if (!t) {
     t = g_new0(FkTeamUse, 1);
+    t->by = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     g_hash_table_insert(v->teams, g_strdup(name), t);
   }
   return t;
@@ -228,10 +343,20 @@
 }
 
 /* The sums of bookings are kept by difference: a chunk's old bookings go, its new ones come. */
+static void count_by(FkTeamUse *team, const char *by, double cpus) {
+  double *used = g_hash_table_lookup(team->by, by);
+  if (!used) {
+    used = g_new0(double, 1);
+    g_hash_table_insert(team->by, (gpointer)by, used);
+  }
+  *used += cpus;
+}
+
 static void chunk_count(FkView *v, FkJob *j, const FkChunk *c, int sign) {
   FkTeamUse *team = fk_view_team(v, j->spec->team);
   for (guint i = 0; i < c->bookings->len; i++) {
     const FkBooking *b = &g_array_index(c->bookings, FkBooking, i);
+    count_by(team, b->by, sign * j->spec->cpus);
     FkMachine *m = fk_view_machine_ensure(v, b->machine);
     m->cpus += sign * j->spec->cpus;
     m->gpus += sign * j->spec->gpus;
@@ -278,31 +403,101 @@
   }
 }
 
-static void set_chunk(FkView *v, FkJob *j, guint32 index, FkChunk *c, FkRev rev) {
-  if (index >= j->n_chunks || (c && c->count != fk_spec_chunk_tasks(j->spec, index))) {
-    fk_chunk_free(c);
-    return;
+/* What homes have written down counts as long as the chunk has the booking. */
+static gboolean apply_ends(FkChunk *c, const FkEnds *e) {
+  gboolean changed = FALSE;
+  for (guint i = 0; i < MIN(e->done->len, c->count); i++)
+    if (e->done->data[i] && !c->done[i]) {
+      FkBooking *b = fk_chunk_find(c, c->first + i);
+      if (b && fk_chunk_finish(c, b->task, b->attempt))
+        changed = TRUE;
+    }
+  for (guint i = 0; i < e->released->len; i++) {
+    const FkTry *t = &g_array_index(e->released, FkTry, i);
+    changed |= fk_chunk_release(c, t->task, t->attempt);
   }
+  return changed;
+}
+
+static void put_effective(FkView *v, FkJob *j, guint32 index, FkChunk *c) {
   FkChunk *old = j->chunks[index];
-  if (old && old->rev.n >= rev.n) {
-    fk_chunk_free(c);
-    return;
-  }
   if (c)
     carry_times(v, j, old, c);
   if (old) {
     chunk_count(v, j, old, -1);
     fk_chunk_free(old);
   }
-  if (c) {
-    c->rev = rev;
+  if (c)
     chunk_count(v, j, c, +1);
-  }
   j->chunks[index] = c;
   if (index < j->unstarted_hint)
     j->unstarted_hint = index;
 }
 
+static void set_chunk(FkView *v, FkJob *j, guint32 index, FkChunk *c, FkRev rev) {
+  if (index >= j->n_chunks || (c && c->count != fk_spec_chunk_tasks(j->spec, index)) ||
+      (j->bases[index] && j->bases[index]->rev.n >= rev.n)) {
+    fk_chunk_free(c);
+    return;
+  }
+  fk_chunk_free(j->bases[index]);
+  j->bases[index] = c;
+  if (!c) {
+    put_effective(v, j, index, NULL);
+    return;
+  }
+  c->rev = rev;
+  FkChunk *now = fk_chunk_copy(c);
+  g_autofree char *key = g_strdup_printf("%s/%u", j->spec->id, index);
+  GPtrArray *all = g_hash_table_lookup(v->ends, key);
+  for (guint i = 0; all && i < all->len; i++)
+    apply_ends(now, all->pdata[i]);
+  put_effective(v, j, index, now);
+}
+
+static void ends_news(FkView *v, const FkEnds *e) {
+  const char *slash = strrchr(e->chunk, '/');
+  g_autofree char *id = slash ? g_strndup(e->chunk, slash - e->chunk) : NULL;
+  FkJob *j = id ? fk_view_job(v, id) : NULL;
+  guint64 index = slash ? g_ascii_strtoull(slash + 1, NULL, 10) : 0;
+  if (!j || index >= j->n_chunks || !j->chunks[index])
+    return;
+  g_autoptr(FkChunk) now = fk_chunk_copy(j->chunks[index]);
+  if (apply_ends(now, e))
+    put_effective(v, j, (guint32)index, g_steal_pointer(&now));
+}
+
+/* A home's page of ends replaces the one before it. */
+static void set_ends(FkView *v, const char *id, FkRecord *r, FkRev rev) {
+  FkEndPage *old = g_hash_table_lookup(v->end_pages, id);
+  if (old && old->rev.n >= rev.n)
+    return;
+  for (guint i = 0; old && i < old->ends->len; i++) {
+    FkEnds *e = old->ends->pdata[i];
+    GPtrArray *all = g_hash_table_lookup(v->ends, e->chunk);
+    if (all && g_ptr_array_remove_fast(all, e) && !all->len)
+      g_hash_table_remove(v->ends, e->chunk);
+  }
+  if (!r) {
+    g_hash_table_remove(v->end_pages, id);
+    return;
+  }
+  FkEndPage *page = g_new0(FkEndPage, 1);
+  page->rev = rev;
+  page->ends = g_steal_pointer(&r->ends);
+  g_hash_table_replace(v->end_pages, g_strdup(id), page);
+  for (guint i = 0; i < page->ends->len; i++) {
+    FkEnds *e = page->ends->pdata[i];
+    GPtrArray *all = g_hash_table_lookup(v->ends, e->chunk);
+    if (!all) {
+      all = g_ptr_array_new();
+      g_hash_table_insert(v->ends, g_strdup(e->chunk), all);
+    }
+    g_ptr_array_add(all, e);
+    ends_news(v, e);
+  }
+}
+
 static void drop_job(FkView *v, const char *id, FkJob *j) {
   for (guint32 i = 0; i < j->n_chunks; i++)
     if (j->chunks[i]) {
@@ -311,7 +506,7 @@
         learn(v, j->spec, fk_time_between(g_array_index(j->chunks[i]->bookings, FkBooking, k).since, v->now));
       chunk_count(v, j, j->chunks[i], -1);
       char *path = fk_key_chunk(id, i);
-      g_hash_table_replace(v->orphans, path, g_memdup2(&j->chunks[i]->rev, sizeof(FkRev)));
+      g_hash_table_replace(v->orphans, path, g_memdup2(&j->bases[i]->rev, sizeof(FkRev)));
     }
   g_hash_table_remove(v->jobs, id);
 }
@@ -330,6 +525,7 @@
     j->spec = fk_spec_ref(r->spec);
     j->n_chunks = fk_spec_chunks(j->spec);
     j->chunks = g_new0(FkChunk *, j->n_chunks);
+    j->bases = g_new0(FkChunk *, j->n_chunks);
     j->seen = v->now;
     j->submitted_us = j->spec->submitted_ms * 1000 - v->wall_offset_us;
     if (j->submitted_us > v->now.us)
@@ -345,20 +541,67 @@
   j->rev = rev;
 }
 
-static void set_machine(FkView *v, const char *id, FkRecord *r, FkRev rev) {
-  FkMachine *m = r ? fk_view_machine_ensure(v, id) : fk_view_machine(v, id);
-  if (!m || m->rev.n >= rev.n)
+static void set_group(FkView *v, const char *id, FkRecord *r, FkRev rev) {
+  FkGroup *g = fk_view_group(v, id);
+  if (g->rev.n >= rev.n)
     return;
-  m->rev = rev;
-  g_clear_pointer(&m->rec, machine_rec_free);
+  g_clear_pointer(&g->home, g_free);
+  g_clear_pointer(&g->life, g_free);
+  g->rev = r ? rev : (FkRev){0};
   if (r) {
-    m->rec = g_steal_pointer(&r->machine);
-    if (!m->rec_seen.us) {
-      m->rec_seen = v->now;
-      m->idle_since = v->now;
+    g->home = g_strdup(r->node);
+    g->life = g_strdup(r->life);
+  }
+  for (guint i = 0; i < g->machines->len; i++)
+    touch(v, g->machines->pdata[i]);
+}
+
+/* A machine that a page no longer has is proven gone: its bookings have ended before. */
+static void set_page(FkView *v, const char *id, FkRecord *r, FkRev rev) {
+  FkGroup *g = fk_view_group(v, id);
+  if (g->page_rev.n >= rev.n)
+    return;
+  g->page_rev = rev;
+  for (guint i = 0; r && i < r->members->len; i++) {
+    FkMachineRec *rec = r->members->pdata[i];
+    FkMachine *m = fk_view_machine_ensure(v, rec->id);
+    join_group(m, g);
+    m->page_rev = rev;
+    gboolean fresh = !m->rec, changed = m->mark != rec->mark;
+    if (changed) {
+      m->mark = rec->mark;
+      m->notice_s = rec->notice_s;
+      m->mark_seen = v->now;
     }
+    if (fresh) {
+      m->rec = fk_machine_rec_copy(rec);
+      m->rec_seen = m->idle_since = v->now;
+    }
+    if (fresh || changed)
+      touch(v, m);
+  }
+  for (guint i = 0; i < g->machines->len; i++) {
+    FkMachine *m = g->machines->pdata[i];
+    if (m->page_rev.n == rev.n || !m->rec)
+      continue;
+    g_clear_pointer(&m->rec, fk_machine_rec_free);
+    m->mark = NULL;
+    m->type = NULL;
+    touch(v, m);
+  }
+}
+
+static void set_team(FkView *v, const char *id, FkRecord *r, FkRev rev) {
+  FkTeamUse *t = fk_view_team(v, id);
+  t->rev = r ? rev : (FkRev){0};
+  g_clear_pointer(&t->split, g_hash_table_unref);
+  if (!r)
+    return;
+  t->split = g_steal_pointer(&r->split);
+  if (r->node) {
+    g_free(t->was_short);
+    t->was_short = g_steal_pointer(&r->node);
   }
-  touch(v, m);
 }
 
 void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks) {
@@ -405,9 +648,13 @@
     }
     break;
   case FK_KEY_TEAM:
-    fk_view_team(v, id)->rev = rev;
-    if (!r)
-      fk_view_team(v, id)->rev.n = 0;
+    set_team(v, id, r, rev);
+    break;
+  case FK_KEY_FENCE:
+    if (r)
+      g_hash_table_replace(v->fences, g_strdup(id), g_memdup2(&rev, sizeof rev));
+    else
+      g_hash_table_remove(v->fences, id);
     break;
   case FK_KEY_LEADER:
     g_clear_pointer(&v->leader, g_free);
@@ -419,17 +666,6 @@
       v->leader_rev = rev;
     }
     break;
-  case FK_KEY_MARK: {
-    FkMachine *m = fk_view_machine_ensure(v, id);
-    g_clear_pointer(&m->mark, g_free);
-    if (r) {
-      m->mark = g_strdup(r->why);
-      m->notice_s = r->notice_s;
-      m->mark_seen = v->now;
-    }
-    touch(v, m);
-    break;
-  }
   case FK_KEY_WAITS:
     if (r) {
       FkWaits *w = g_new0(FkWaits, 1);
@@ -467,8 +703,14 @@
       g_hash_table_remove(v->orphans, path);
     break;
   }
-  case FK_KEY_MACHINE:
-    set_machine(v, id, r, rev);
+  case FK_KEY_GROUP:
+    set_group(v, id, r, rev);
+    break;
+  case FK_KEY_PAGE:
+    set_page(v, id, r, rev);
+    break;
+  case FK_KEY_ENDS:
+    set_ends(v, id, r, rev);
     break;
   case FK_KEY_FINAL:
     if (r)
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -7,11 +7,13 @@
   FK_KEY_OTHER,
   FK_KEY_JOB,
   FK_KEY_CHUNK,
-  FK_KEY_MACHINE,
+  FK_KEY_GROUP,
+  FK_KEY_PAGE,
+  FK_KEY_ENDS,
+  FK_KEY_FENCE,
   FK_KEY_NODE,
   FK_KEY_TEAM,
   FK_KEY_LEADER,
-  FK_KEY_MARK,
   FK_KEY_WAITS,
   FK_KEY_FINAL
 } FkKeyKind;
@@ -19,22 +21,41 @@
 #define FK_ROOT "fk/"
 #define FK_LIVE "fk/l/"
 
+/* What a machine is. It never changes, but for the mark: why the machine should go, or NULL. */
 typedef struct {
-  char *home, *life; /* the controller, and which of its lives */
-  char *type, *zone, *addr;
+  char *id, *addr;
+  const char *type, *zone; /* interned */
   gboolean spot;
+  const char *mark; /* interned */
+  double notice_s;
 } FkMachineRec;
 
+/* What has ended of one chunk's bookings, as a home wrote it down: tasks that are done, and attempts that
+ * ended without a result. It counts until the chunk itself says so. */
+typedef struct {
+  char *chunk;      /* "job/index" */
+  GByteArray *done; /* a byte a task */
+  GArray *released; /* FkTry */
+} FkEnds;
+typedef struct {
+  guint32 task;
+  FkAttempt attempt;
+} FkTry;
+FkEnds *fk_ends_new(const char *chunk);
+FkEnds *fk_ends_copy(const FkEnds *e);
+void fk_ends_free(gpointer e);
+void fk_machine_rec_free(gpointer m);
+
 /* What goes under one key. Which members count depends on `kind`. */
 typedef struct {
   FkKeyKind kind;
   FkSpec *spec;          /* JOB */
   gboolean cancelled;    /* JOB */
   FkChunk *chunk;        /* CHUNK */
-  FkMachineRec *machine; /* MACHINE */
-  char *node, *life;     /* NODE, LEADER */
-  char *why;             /* MARK */
-  double notice_s;       /* MARK */
+  GPtrArray *members;    /* PAGE: FkMachineRec */
+  GPtrArray *ends;       /* ENDS: FkEnds */
+  GHashTable *split;     /* TEAM: controller -> double* CPUs, or NULL: the limit is shared */
+  char *node, *life;     /* NODE, LEADER, GROUP: the home */
   FkPhase phase;         /* FINAL */
   guint32 tasks;         /* FINAL */
   guint64 window;        /* WAITS */
@@ -46,6 +67,10 @@
 void fk_record_free(FkRecord *r);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkRecord, fk_record_free)
 FkMachineRec *fk_machine_rec_copy(const FkMachineRec *m);
+typedef struct {
+  FkRev rev;
+  GPtrArray *ends; /* FkEnds */
+} FkEndPage;
 
 /* Splits a path. `id` and `chunk` are set where the kind has them. */
 FkKeyKind fk_key_parse(const char *path, char **id, guint32 *chunk);
@@ -64,7 +89,8 @@
   FkRev rev;
   gboolean cancelled;
   guint32 n_chunks;
-  FkChunk **chunks; /* NULL: no task of it was ever started */
+  FkChunk **bases;  /* the chunks' records; NULL: no task of it was ever started */
+  FkChunk **chunks; /* ... with what homes have written down of ends */
   guint32 done, booked;
   guint32 unstarted_hint; /* no chunk before this one has a waiting task */
   FkTime seen;            /* when this controller first saw it */
@@ -74,6 +100,9 @@
   guint32 gang_booked;    /* tasks that it has booked so far */
   FkTime preempted;       /* room for it was asked for lately */
   double left_cpu_s;      /* work that waits; sorts the queue */
+  gboolean below;         /* its team uses less than its guarantee */
+  guint place;            /* in the queue, from 1; 0: never yet */
+  FkTime probed;
   double latest_s;        /* how far off its latest useful start is; sorts the queue */
   FkTime gang_until;      /* a gang's launch may go on in further transactions until then */
   gint64 submitted_us;    /* on the steady clock, by the time of day */
@@ -89,15 +118,35 @@
 
 typedef struct FkHome FkHome;
 
+/* Machines of one zone that have one home together: the claim's revision is the token of them all. */
+typedef struct {
+  const char *id, *zone; /* interned */
+  char *home, *life;     /* the controller, and which of its lives; NULL: none yet */
+  FkRev rev;             /* the claim's; 0: none */
+  FkRev page_rev;
+  GPtrArray *machines; /* FkMachine: those described in the page, and others heard of */
+  FkTime claim_after, lost_until;
+  gboolean was_mine;
+  gboolean wanted;      /* to be claimed: its workers can't reach their home, or a start must be made void */
+  gboolean dirty;       /* its page is to be written */
+  GHashTable *back;     /* machines that came back from their home lately -> FkTime* */
+} FkGroup;
+
 typedef struct {
   const char *id;    /* interned */
-  FkMachineRec *rec; /* NULL: no claim */
-  FkRev rev;
+  FkMachineRec *rec; /* NULL: not described in its group's page */
+  FkGroup *group;    /* NULL: its zone isn't known */
+  FkRev page_rev;    /* the latest page that had it */
+  FkMachineRec *joining;    /* what is to be written of it */
+  const char *want_mark;    /* interned: the mark to be written, or NULL: as it is */
+  double want_notice_s;
+  gboolean want_clear, want_gone;
+  struct FkType *type; /* cached */
   GArray *books;                         /* FkBookRef */
   double cpus, gpus, mem_gb;             /* booked */
   double pend_cpus, pend_gpus, pend_mem; /* in transactions under way */
   double long_cpus;
-  char *mark; /* why it should go, or NULL */
+  const char *mark; /* interned: why it should go, or NULL */
   FkTime mark_seen;
   FkTime rec_seen;
   double notice_s;
@@ -117,6 +166,12 @@
   FkRev rev;
   double cpus, gpus; /* booked by the team's tasks */
   double pend_cpus, pend_gpus;
+  gboolean starved;  /* our share is too small, though the team has room */
+  FkTime shared_since;
+  char *was_short; /* the controller that ran out of its share last, or NULL */
+  double shared_s;
+  GHashTable *by;    /* controller (interned) -> double*: CPUs of what it launched */
+  GHashTable *split; /* controller -> double*: its share of the limit; NULL: shared */
 } FkTeamUse;
 
 typedef struct {
@@ -131,6 +186,10 @@
   FkRev applied;
   GHashTable *jobs;     /* id -> FkJob */
   GHashTable *machines; /* id -> FkMachine */
+  GHashTable *groups;   /* id -> FkGroup */
+  GHashTable *end_pages;   /* "node/n" -> FkEndPage */
+  GHashTable *ends;        /* "job/index" -> GPtrArray of FkEnds, the pages' */
+  GHashTable *fences;      /* node -> FkRev* */
   GHashTable *nodes;    /* name -> FkNode */
   GHashTable *teams;    /* name -> FkTeamUse */
   GHashTable *waits;    /* node -> FkWaits */
@@ -153,6 +212,12 @@
 FkJob *fk_view_job(FkView *v, const char *id);
 FkMachine *fk_view_machine(FkView *v, const char *id);
 FkMachine *fk_view_machine_ensure(FkView *v, const char *id);
+void fk_view_drop_machine(FkView *v, FkMachine *m);
+FkGroup *fk_view_group(FkView *v, const char *id);
+/* The group that a machine belongs to, for good, by its zone and id. */
+char *fk_group_id(const char *zone, const char *machine);
+void fk_view_set_group(FkView *v, FkMachine *m, const char *zone);
+FkRev fk_view_fence(FkView *v, const char *node);
 FkTeamUse *fk_view_team(FkView *v, const char *name);
 gboolean fk_view_final(FkView *v, const char *id, FkPhase *phase, guint32 *tasks);
 void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks);
--- a/src/io/budget.c
+++ b/src/io/budget.c
@@ -110,3 +110,22 @@
   if (!b->timer)
     b->timer = g_timeout_add(15, drain, b);
 }
+
+void fk_budget_rates(FkBudget *b, double rate, double write_rate) {
+  refill(b);
+  b->rate = rate;
+  b->write_rate = write_rate;
+}
+
+void fk_budget_again(FkBudget *b, guint level, guint writes, gpointer item) {
+  refill(b);
+  /* all that we believed to have is gone */
+  b->tokens = MIN(b->tokens, 0);
+  b->write_tokens = MIN(b->write_tokens, 0);
+  Waiting *w = g_new0(Waiting, 1);
+  *w = (Waiting){item, writes};
+  g_queue_push_head(&b->queues[level], w);
+  b->queued++;
+  if (!b->timer)
+    b->timer = g_timeout_add(15, drain, b);
+}
--- a/src/io/budget.h
+++ b/src/io/budget.h
@@ -11,5 +11,9 @@
                         FkBudgetSend send, FkBudgetSend shed, gpointer data);
 void fk_budget_free(FkBudget *b);
 void fk_budget_add(FkBudget *b, guint level, guint writes, gpointer item);
+/* What this controller's share is now. */
+void fk_budget_rates(FkBudget *b, double rate, double write_rate);
+/* Refused for want of budget: the others have used it. It goes first again, after a pause. */
+void fk_budget_again(FkBudget *b, guint level, guint writes, gpointer item);
 /* Counts a request that goes out in any case (hold renewals, watches). */
 void fk_budget_count(FkBudget *b);
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -12,6 +12,8 @@
 #define TICK_MS 100
 #define STORE_DEADLINE_S 2.0
 #define BODY_MAX 65536
+#define AGAIN_MAX 6      /* times that a request over the store's budget is sent again */
+#define LEND 1.3         /* a controller may use somewhat more than its share: not all need theirs at once */
 
 struct FkShell {
   const FkSettings *settings;
@@ -83,6 +85,12 @@
   FkShell *s = sent->shell;
   FkOut *out = sent->out;
   FkOutcome o = outcome(status);
+  if (status == 429 && (out->kind == FK_OUT_COMMIT || out->kind == FK_OUT_GET) && out->tries++ < AGAIN_MAX) {
+    g_free(sent);
+    fk_budget_again(s->store_budget, out->kind == FK_OUT_GET ? FK_PRIO_USER : out->prio,
+                    out->kind == FK_OUT_GET ? 0 : out->writes->len, out);
+    return;
+  }
   if (o == FK_INVALID)
     g_warning("the store refuses: %.*s", (int)MIN(len, 300), body);
   switch (out->kind) {
@@ -475,6 +483,9 @@
 static gboolean on_tick(gpointer data) {
   FkShell *s = data;
   fk_controller_tick(s->core, now(), g_get_real_time());
+  double share = fk_controller_share(s->core), writes = fk_controller_write_share(s->core);
+  fk_budget_rates(s->store_budget, MIN(1, LEND * share) * s->settings->state_rps,
+                  MIN(1, LEND * writes) * s->settings->state_write_rps);
   drain(s);
   return G_SOURCE_CONTINUE;
 }
@@ -502,7 +513,7 @@
   s->store = fk_http_new(32, 32);
   s->workers = fk_http_new(400, 2);
   s->cloud = fk_http_new(4, 4);
-  s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8, 4, 2000,
+  s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8, 5, 2000,
                                   store_send, store_shed, s);
   s->cloud_budget = fk_budget_new(settings->cloud_rps * 0.7, 1, 1.0, 2, 50, cloud_send, cloud_shed, s);
   s->server = soup_server_new("server-header", "flaxknot", NULL);
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -76,22 +76,134 @@
   return g_steal_pointer(&s);
 }
 
+/* A hexadecimal digit for four tasks. */
+static void add_bits(cJSON *o, const char *name, const guint8 *set, guint32 count) {
+  g_autoptr(GString) bits = g_string_new(NULL);
+  for (guint32 i = 0; i < count; i += 4) {
+    guint v = 0;
+    for (guint32 k = i; k < MIN(i + 4, count); k++)
+      v |= (guint)(set[k] != 0) << (k - i);
+    g_string_append_printf(bits, "%x", v);
+  }
+  cJSON_AddStringToObject(o, name, bits->str);
+}
+
+static cJSON *page_to_json(const GPtrArray *members) {
+  cJSON *o = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(o, "m");
+  for (guint i = 0; i < members->len; i++) {
+    const FkMachineRec *m = members->pdata[i];
+    cJSON *e = cJSON_CreateArray();
+    if (!i)
+      cJSON_AddStringToObject(o, "zone", m->zone);
+    cJSON_AddItemToArray(e, cJSON_CreateString(m->id));
+    cJSON_AddItemToArray(e, cJSON_CreateString(m->type));
+    cJSON_AddItemToArray(e, cJSON_CreateString(m->addr));
+    cJSON_AddItemToArray(e, cJSON_CreateNumber(m->spot));
+    if (m->mark) {
+      cJSON_AddItemToArray(e, cJSON_CreateString(m->mark));
+      cJSON_AddItemToArray(e, cJSON_CreateNumber(m->notice_s));
+    }
+    cJSON_AddItemToArray(list, e);
+  }
+  return o;
+}
+
+static GPtrArray *page_from_json(const cJSON *o) {
+  const cJSON *list = fk_json_get(o, "m"), *e;
+  const char *zone = fk_json_str(o, "zone");
+  if (!cJSON_IsArray(list) || (!zone && cJSON_GetArraySize(list)))
+    return NULL;
+  g_autoptr(GPtrArray) members = g_ptr_array_new_with_free_func(fk_machine_rec_free);
+  cJSON_ArrayForEach(e, list) {
+    const cJSON *id = cJSON_GetArrayItem(e, 0), *type = id ? id->next : NULL, *addr = type ? type->next : NULL,
+                *spot = addr ? addr->next : NULL, *mark = spot ? spot->next : NULL;
+    if (!cJSON_IsString(id) || !cJSON_IsString(type) || !cJSON_IsString(addr) || !cJSON_IsNumber(spot))
+      return NULL;
+    FkMachineRec *m = g_new0(FkMachineRec, 1);
+    m->id = g_strdup(id->valuestring);
+    m->type = g_intern_string(type->valuestring);
+    m->addr = g_strdup(addr->valuestring);
+    m->zone = g_intern_string(zone);
+    m->spot = spot->valuedouble != 0;
+    m->notice_s = -1;
+    if (cJSON_IsString(mark)) {
+      m->mark = g_intern_string(mark->valuestring);
+      if (cJSON_IsNumber(mark->next))
+        m->notice_s = mark->next->valuedouble;
+    }
+    g_ptr_array_add(members, m);
+  }
+  return g_steal_pointer(&members);
+}
+
+static cJSON *ends_to_json(const GPtrArray *ends) {
+  cJSON *o = cJSON_CreateObject();
+  for (guint i = 0; i < ends->len; i++) {
+    const FkEnds *e = ends->pdata[i];
+    cJSON *j = cJSON_AddObjectToObject(o, e->chunk);
+    if (e->done->len)
+      add_bits(j, "d", e->done->data, e->done->len);
+    cJSON *list = e->released->len ? cJSON_AddArrayToObject(j, "r") : NULL;
+    for (guint k = 0; k < e->released->len; k++) {
+      const FkTry *t = &g_array_index(e->released, FkTry, k);
+      cJSON_AddItemToArray(list, cJSON_CreateNumber(t->task));
+      cJSON_AddItemToArray(list, fk_json_new_u64(t->attempt.n));
+    }
+  }
+  return o;
+}
+
+static GPtrArray *ends_from_json(const cJSON *o) {
+  g_autoptr(GPtrArray) ends = g_ptr_array_new_with_free_func(fk_ends_free);
+  const cJSON *j;
+  cJSON_ArrayForEach(j, o) {
+    FkEnds *e = fk_ends_new(j->string);
+    g_ptr_array_add(ends, e);
+    const char *bits = fk_json_str(j, "d");
+    for (gsize i = 0; bits && bits[i]; i++)
+      for (guint k = 0; k < 4; k++) {
+        guint8 set = g_ascii_xdigit_value(bits[i]) >> k & 1;
+        g_byte_array_append(e->done, &set, 1);
+      }
+    const cJSON *n = fk_json_get(j, "r");
+    for (n = n ? n->child : NULL; n && n->next; n = n->next->next) {
+      guint64 task, attempt;
+      if (!fk_json_item_u64(n, &task) || !fk_json_item_u64(n->next, &attempt))
+        return NULL;
+      FkTry t = {(guint32)task, {attempt}};
+      g_array_append_val(e->released, t);
+    }
+  }
+  return g_steal_pointer(&ends);
+}
+
+static cJSON *split_to_json(GHashTable *split) {
+  cJSON *o = cJSON_CreateObject();
+  GHashTableIter it;
+  gpointer name, cpus;
+  g_hash_table_iter_init(&it, split);
+  while (g_hash_table_iter_next(&it, &name, &cpus))
+    cJSON_AddNumberToObject(o, name, *(double *)cpus);
+  return o;
+}
+
+static GHashTable *split_from_json(const cJSON *o) {
+  if (!cJSON_IsObject(o))
+    return NULL;
+  GHashTable *split = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  const cJSON *j;
+  cJSON_ArrayForEach(j, o) if (cJSON_IsNumber(j))
+      g_hash_table_insert(split, g_strdup(j->string), g_memdup2(&j->valuedouble, sizeof(double)));
+  return split;
+}
+
 static cJSON *chunk_to_json(const FkChunk *c) {
   cJSON *o = cJSON_CreateObject();
   cJSON_AddNumberToObject(o, "f", c->first);
   cJSON_AddNumberToObject(o, "n", c->count);
   fk_json_add_u64(o, "a", c->next_attempt);
-  if (c->done_count) {
-    /* a hexadecimal digit for four tasks */
-    g_autoptr(GString) bits = g_string_new(NULL);
-    for (guint32 i = 0; i < c->count; i += 4) {
-      guint v = 0;
-      for (guint32 k = i; k < MIN(i + 4, c->count); k++)
-        v |= (guint)(c->done[k] != 0) << (k - i);
-      g_string_append_printf(bits, "%x", v);
-    }
-    cJSON_AddStringToObject(o, "d", bits->str);
-  }
+  if (c->done_count)
+    add_bits(o, "d", c->done, c->count);
   cJSON *list = cJSON_AddArrayToObject(o, "b");
   for (guint i = 0; i < c->bookings->len; i++) {
     const FkBooking *b = &g_array_index(c->bookings, FkBooking, i);
@@ -99,6 +211,7 @@
     cJSON_AddItemToArray(e, cJSON_CreateNumber(b->task));
     cJSON_AddItemToArray(e, fk_json_new_u64(b->attempt.n));
     cJSON_AddItemToArray(e, cJSON_CreateString(b->machine));
+    cJSON_AddItemToArray(e, cJSON_CreateString(b->by));
     if (b->stop)
       cJSON_AddItemToArray(e, cJSON_CreateNumber(1));
     cJSON_AddItemToArray(list, e);
@@ -122,12 +235,14 @@
   const cJSON *e;
   cJSON_ArrayForEach(e, fk_json_get(o, "b")) {
     guint64 task, attempt;
-    const char *machine = cJSON_GetStringValue(cJSON_GetArrayItem(e, 2));
-    if (!fk_json_item_u64(cJSON_GetArrayItem(e, 0), &task) ||
+    const char *machine = cJSON_GetStringValue(cJSON_GetArrayItem(e, 2)),
+               *by = cJSON_GetStringValue(cJSON_GetArrayItem(e, 3));
+    if (!by || !fk_json_item_u64(cJSON_GetArrayItem(e, 0), &task) ||
         !fk_json_item_u64(cJSON_GetArrayItem(e, 1), &attempt) || !machine || task < first ||
         task >= first + count)
       return NULL;
-    FkBooking b = {(guint32)task, {attempt}, g_intern_string(machine), cJSON_GetArrayItem(e, 3) != NULL, {0}};
+    FkBooking b = {(guint32)task,       {attempt}, g_intern_string(machine),
+                   g_intern_string(by), cJSON_GetArrayItem(e, 4) != NULL, {0}};
     g_array_append_val(c->bookings, b);
   }
   return g_steal_pointer(&c);
@@ -143,15 +258,10 @@
     return o;
   case FK_KEY_CHUNK:
     return chunk_to_json(r->chunk);
-  case FK_KEY_MACHINE:
-    o = cJSON_CreateObject();
-    cJSON_AddStringToObject(o, "home", r->machine->home);
-    cJSON_AddStringToObject(o, "life", r->machine->life);
-    cJSON_AddStringToObject(o, "type", r->machine->type);
-    cJSON_AddStringToObject(o, "zone", r->machine->zone);
-    cJSON_AddStringToObject(o, "addr", r->machine->addr);
-    cJSON_AddBoolToObject(o, "spot", r->machine->spot);
-    return o;
+  case FK_KEY_PAGE:
+    return page_to_json(r->members);
+  case FK_KEY_ENDS:
+    return ends_to_json(r->ends);
   default:
     break;
   }
@@ -160,9 +270,8 @@
     cJSON_AddStringToObject(o, "node", r->node);
   if (r->life)
     cJSON_AddStringToObject(o, "life", r->life);
-  if (r->kind == FK_KEY_MARK) {
-    cJSON_AddStringToObject(o, "why", r->why);
-    cJSON_AddNumberToObject(o, "notice", r->notice_s);
+  if (r->kind == FK_KEY_TEAM && r->split) {
+    cJSON_AddItemToObject(o, "split", split_to_json(r->split));
   } else if (r->kind == FK_KEY_FINAL) {
     cJSON_AddNumberToObject(o, "phase", r->phase);
     cJSON_AddNumberToObject(o, "tasks", r->tasks);
@@ -191,21 +300,12 @@
     if (!(r->chunk = chunk_from_json(o)))
       return NULL;
     break;
-  case FK_KEY_MACHINE:
-    r->machine = g_new0(FkMachineRec, 1);
-    r->machine->home = g_strdup(fk_json_str(o, "home"));
-    r->machine->life = g_strdup(fk_json_str(o, "life"));
-    r->machine->type = g_strdup(fk_json_str(o, "type"));
-    r->machine->zone = g_strdup(fk_json_str(o, "zone"));
-    r->machine->addr = g_strdup(fk_json_str(o, "addr"));
-    fk_json_bool(o, "spot", &r->machine->spot);
-    if (!r->machine->home || !r->machine->life || !r->machine->type || !r->machine->zone || !r->machine->addr)
+  case FK_KEY_PAGE:
+    if (!(r->members = page_from_json(o)))
       return NULL;
     break;
-  case FK_KEY_MARK:
-    r->why = g_strdup(fk_json_str(o, "why"));
-    r->notice_s = fk_json_num_or(o, "notice", -1);
-    if (!r->why)
+  case FK_KEY_ENDS:
+    if (!(r->ends = ends_from_json(o)))
       return NULL;
     break;
   case FK_KEY_FINAL:
@@ -221,12 +321,17 @@
     break;
   case FK_KEY_NODE:
   case FK_KEY_LEADER:
+  case FK_KEY_GROUP:
     r->node = g_strdup(fk_json_str(o, "node"));
     r->life = g_strdup(fk_json_str(o, "life"));
-    if (!r->life || (r->kind == FK_KEY_LEADER && !r->node))
+    if (!r->life || (r->kind != FK_KEY_NODE && !r->node))
       return NULL;
     break;
   case FK_KEY_TEAM:
+    r->node = g_strdup(fk_json_str(o, "node"));
+    r->split = split_from_json(fk_json_get(o, "split"));
+    break;
+  case FK_KEY_FENCE:
     break;
   default:
     return NULL;
