Limits are dealt out after a pause; launches are built only when they can go out at once

Cause: the leader's launches waited for the budget and were refused as out of date, 100 s long; a shared limit was never split again.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -775,6 +775,8 @@
   return fk_ready(c) ? CLAMP(g_hash_table_size(c->view->nodes), 1, all) : all;
 }
 
+void fk_controller_room(FkController *c, double writes) { c->write_room = writes; }
+
 double fk_controller_share(FkController *c) { return 1.0 / fk_controllers(c); }
 
 /* The leader writes for the services of all: it has two parts. */
@@ -822,6 +824,7 @@
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
   c->window_end = fk_time_add(now, s->tuning.window_s);
   c->store_ok = now;
+  c->write_room = s->txn_ops;
   return c;
 }
 
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -140,6 +140,8 @@
 /* This controller's part of the store's request and write budgets. */
 double fk_controller_share(FkController *c);
 double fk_controller_write_share(FkController *c);
+/* The shell says how many writes would go out at once, before each tick and answer of the store. */
+void fk_controller_room(FkController *c, double writes);
 
 /* ---- inputs ---- */
 void fk_controller_tick(FkController *c, FkTime now, gint64 wall_us);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -114,6 +114,7 @@
   gboolean splitting;
   FkRev split_wait;
   FkTime last_tick, late_until; /* we were too slow lately to tell who is silent */
+  double write_room; /* writes that would go out at once */
   guint slice; /* of the machines, to be looked through next */
 
   /* launches */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -154,10 +154,14 @@
     c->finalize_wait = epoch;
 }
 
+#define SWEEP_MIN 3 /* writes that must be free */
+
 /* Jobs that have ended leave the live records; chunks that a large job left behind follow. */
 static void sweep(FkController *c) {
-  if (c->finalizing || c->view->applied.n < c->finalize_wait.n || !fk_time_reached(c->now, c->sweep_next))
+  if (c->finalizing || c->view->applied.n < c->finalize_wait.n || !fk_time_reached(c->now, c->sweep_next) ||
+      c->write_room < SWEEP_MIN)
     return;
+  guint room = (guint)MIN(c->settings->txn_ops, c->write_room);
   c->sweep_next = fk_time_add(c->now, 0.3);
   GHashTableIter it;
   gpointer key, p;
@@ -171,7 +175,7 @@
       t = fk_txn_new(c, FK_PRIO_RESULT);
     if (!fk_txn_finalize(c, t, j, c->settings->txn_ops - t->writes->len))
       break;
-    if (t->writes->len + 4 > c->settings->txn_ops)
+    if (t->writes->len + 3 > room)
       break;
   }
   if (!t && g_hash_table_size(c->view->orphans)) {
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -9,6 +9,7 @@
 #define EPS 1e-6
 #define QUEUE_MAX 24      /* probes a machine */
 #define TXN_BYTES 40000   /* of the store's 64 KiB */
+#define LAUNCH_MIN 4      /* writes that must be free for a launch */
 #define GANG_LAUNCH_S 8.0 /* all transactions of one gang's launch */
 
 /* Types are never freed while the controller lives, so that a machine can keep its own at hand. */
@@ -76,7 +77,7 @@
     return FALSE;
   if (tasks * s->cpus <= team_left(c, team, use) + EPS)
     return TRUE;
-  use->starved |= use->split && use->cpus + use->pend_cpus + tasks * s->cpus <= team->cpus_max + EPS;
+  use->starved |= use->split && g_hash_table_size(use->split) && use->cpus + use->pend_cpus + tasks * s->cpus <= team->cpus_max + EPS;
   return FALSE;
 }
 
@@ -100,8 +101,9 @@
   guint writes;
 } LaunchCall;
 
+/* What is built goes out at once: a launch that waits for its turn in the budget is out of date by then. */
 static gboolean batch_full(FkController *c, const Batch *b) {
-  return b->txn && (b->txn->writes->len + 2 > c->settings->txn_ops ||
+  return b->txn && (b->txn->writes->len + 2 > MIN(c->settings->txn_ops, MAX(LAUNCH_MIN, c->write_room)) ||
                     b->txn->guards->len + 4 > c->settings->txn_ops * 4 || b->bytes > TXN_BYTES);
 }
 
@@ -615,7 +617,7 @@
   fk_txn_send(c, t, fenced, NULL, NULL);
 }
 
-#define LAUNCH_SHARE 0.4   /* of the store's write budget */
+#define LAUNCH_SHARE 0.3   /* of the store's write budget */
 #define LOOK_PER_MACHINE 1e-4 /* s: the pause between two looks grows with what there is to look at */
 
 /* The smallest wanted by jobs of other shapes than arrays decides which machines the long path looks at. */
@@ -662,6 +664,8 @@
     fence(c);
     return;
   }
+  if (c->write_room < LAUNCH_MIN)
+    return;
   pending_clear(c);
   g_autoptr(GPtrArray) jobs = waiting_jobs(c);
   if (!jobs->len)
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -10,7 +10,8 @@
 #define SHARED_MAX_S 120.0 /* ... and twice as long each time that this comes soon again */
 #define SHARE_TASKS 4     /* a share must have room for so many of the team's largest tasks */
 #define LEADER_WEIGHT 2.0 /* it places services for all */
-#define PLENTY 0.3
+#define SPLIT_MIN_S 1.0
+#define PAUSE_MAX_S 3.0
 #define FREE_MIN 0.2      /* a limit is split only while so much of it is free */
 
 static void changed(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
@@ -19,16 +20,16 @@
     c->split_wait = epoch;
 }
 
-/* From shared to split what everybody has launched must be known exactly: while the limit is shared each launch
- * changes the record, so a view of the revision that guards this shows them all. From split to shared anything goes:
- * launches on the old shares are void with the new revision. */
-static void change(FkController *c, const char *team, FkTeamUse *use, GHashTable *split /* taken, or NULL */) {
+/* Writes the team's record. `guarded` FALSE only for a pause: nobody may launch on it, so it is safe whatever was
+ * there before. */
+static void change(FkController *c, const char *team, FkTeamUse *use, GHashTable *split /* taken, or NULL */,
+                   gboolean guarded) {
   FkOut *t = fk_txn_new(c, FK_PRIO_CLAIM);
   FkRecord *r = fk_record_new(FK_KEY_TEAM);
   r->split = split;
-  if (!split)
-    r->node = g_strdup(c->settings->node); /* who was short of it */
-  fk_txn_guard(t, fk_key(FK_KEY_TEAM, team), use->rev);
+  r->node = g_strdup(guarded ? use->was_short : c->settings->node);
+  if (guarded)
+    fk_txn_guard(t, fk_key(FK_KEY_TEAM, team), use->rev);
   fk_txn_put(t, fk_key(FK_KEY_TEAM, team), r, (FkRev){0});
   c->splitting = TRUE;
   fk_txn_send(c, t, changed, NULL, NULL);
@@ -72,29 +73,40 @@
          free > SHARE_TASKS * largest * (g_hash_table_size(c->view->nodes) + LEADER_WEIGHT - 1);
 }
 
+static gboolean paused(const FkTeamUse *use) { return use->split && !g_hash_table_size(use->split); }
+
+/* Shares change in two steps. A pause gives nobody anything: launches on the revisions before it are void, so that a
+ * view of the pause shows exactly what everybody has launched. Then who paused deals out shares, or has the limit
+ * shared, guarded by the pause's revision. */
+static void deal_out(FkController *c, const FkTeam *team, FkTeamUse *use) {
+  if (room_to_split(c, team, use)) {
+    g_info("the limit of %s is split: %.0f of %.0f in use", team->name, use->cpus, team->cpus_max);
+    change(c, team->name, use, shares(c, team, use), TRUE);
+    return;
+  }
+  g_info("the limit of %s is shared: %.0f of %.0f in use", team->name, use->cpus, team->cpus_max);
+  use->shared_s = MIN(SHARED_MAX_S, MAX(SHARED_S, 2 * use->shared_s));
+  change(c, team->name, use, NULL, TRUE);
+}
+
 void fk_quota_tick(FkController *c) {
   if (c->splitting || c->view->applied.n < c->split_wait.n)
     return;
   for (guint i = 0; i < c->settings->teams->len && !c->splitting; i++) {
     FkTeam *team = c->settings->teams->pdata[i];
     FkTeamUse *use = fk_view_team(c->view, team->name);
-    if (use->split) {
-      use->shared_since = c->now;
-      if (use->starved) {
-        /* with little left, shares only get in each other's way */
-        use->shared_s = team->cpus_max - use->cpus > PLENTY * team->cpus_max
-                            ? SHARED_S
-                            : MIN(SHARED_MAX_S, MAX(SHARED_S, 2 * use->shared_s));
-        g_info("the limit of %s is shared again", team->name);
-        change(c, team->name, use, NULL);
-      }
-    } else if (c->leading && g_hash_table_size(c->view->nodes) > 1 && team->gpus_max <= 0 &&
-               fk_time_between(use->shared_since, c->now) > MAX(SHARED_S, use->shared_s) && use->pend_cpus <= 0 &&
-               room_to_split(c, team, use)) {
-      use->shared_since = c->now;
-      g_info("the limit of %s is split: %.0f of %.0f in use", team->name, use->cpus, team->cpus_max);
-      change(c, team->name, use, shares(c, team, use));
+    double age = fk_time_between(use->changed, c->now);
+    if (paused(use)) {
+      if (g_strcmp0(use->was_short, c->settings->node) == 0 || (c->leading && age > PAUSE_MAX_S))
+        deal_out(c, team, use);
+    } else if (use->split ? use->starved && age > SPLIT_MIN_S
+                          : c->leading && g_hash_table_size(c->view->nodes) > 1 && team->gpus_max <= 0 &&
+                                fk_time_between(use->shared_since, c->now) > MAX(SHARED_S, use->shared_s) &&
+                                room_to_split(c, team, use)) {
+      change(c, team->name, use, g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free), FALSE);
     }
+    if (use->split)
+      use->shared_since = c->now;
     use->starved = FALSE;
   }
 }
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -594,6 +594,7 @@
 static void set_team(FkView *v, const char *id, FkRecord *r, FkRev rev) {
   FkTeamUse *t = fk_view_team(v, id);
   t->rev = r ? rev : (FkRev){0};
+  t->changed = v->now;
   g_clear_pointer(&t->split, g_hash_table_unref);
   if (!r)
     return;
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -167,7 +167,7 @@
   double cpus, gpus; /* booked by the team's tasks */
   double pend_cpus, pend_gpus;
   gboolean starved;  /* our share is too small, though the team has room */
-  FkTime shared_since;
+  FkTime shared_since, changed;
   char *was_short; /* the controller that ran out of its share last, or NULL */
   double shared_s;
   GHashTable *by;    /* controller (interned) -> double*: CPUs of what it launched */
--- a/src/io/budget.c
+++ b/src/io/budget.c
@@ -129,3 +129,8 @@
   if (!b->timer)
     b->timer = g_timeout_add(15, drain, b);
 }
+
+double fk_budget_room(FkBudget *b) {
+  refill(b);
+  return b->queued || b->tokens < 1 ? 0 : b->write_tokens;
+}
