Tests: five controllers, hundreds of machines, the store's budgets; the three guards; room is kept for the next services

Directed tests for launches' guards, the memory of ended attempts and an earlier home's trust: each fails when its guard is broken on purpose. A leader in another life is replaced at once; large transactions no longer starve in a busy store.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -910,6 +910,8 @@
     return;
   verify_next(c);
   peers_tick(c);
+  c->view->now = now;
+  fk_view_rate_services(c->view);
   fk_claims_tick(c);
   fk_homes_tick(c);
   fk_ends_tick(c);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -10,15 +10,21 @@
   c->leader_wait = epoch;
 }
 
+/* A leader that has begun another life leads no more, though its hold may last for seconds yet. */
+static gboolean leader_gone(FkController *c) {
+  FkNode *n = c->view->leader ? g_hash_table_lookup(c->view->nodes, c->view->leader) : NULL;
+  return !c->view->leader || (n && g_strcmp0(n->life, c->view->leader_life) != 0);
+}
+
 static void campaign(FkController *c) {
-  if (c->view->leader || !c->hold.n || c->leader_pending || !fk_time_reached(c->now, c->leader_retry) ||
+  if (!leader_gone(c) || !c->hold.n || c->leader_pending || !fk_time_reached(c->now, c->leader_retry) ||
       c->view->applied.n < c->leader_wait.n || !fk_controller_up(c, c->now))
     return;
   FkOut *t = fk_txn_new(c, FK_PRIO_HOLD);
   FkRecord *r = fk_record_new(FK_KEY_LEADER);
   r->node = g_strdup(c->settings->node);
   r->life = g_strdup(c->life);
-  fk_txn_guard(t, fk_key(FK_KEY_LEADER, ""), (FkRev){0});
+  fk_txn_guard(t, fk_key(FK_KEY_LEADER, ""), c->view->leader_rev);
   fk_txn_put(t, fk_key(FK_KEY_LEADER, ""), r, c->hold);
   c->leader_pending = TRUE;
   fk_txn_send(c, t, leader_put, NULL, NULL);
@@ -110,6 +116,11 @@
     }
   }
   g_info("fleet:%s", line->str);
+  FkView *v = c->view;
+  g_info("tasks done %u, mean %.1f s from booking to end; services %.2f a second", v->took_count,
+         v->took_count ? v->took_s / v->took_count : 0, v->service_rate);
+  v->took_s = 0;
+  v->took_count = 0;
 }
 
 static void waits_put(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -267,6 +267,56 @@
   return jobs;
 }
 
+static void promise(FkMachine *m, const FkSpec *s, int sign) {
+  m->pend_cpus += sign * s->cpus;
+  m->pend_gpus += sign * s->gpus;
+  m->pend_mem += sign * s->mem_gb;
+}
+
+
+/* ------------------------------------------------------------------ room for the next services */
+
+#define RESERVE_S 5.0 /* services that arrive in this time find room; it takes about as long to make some */
+
+/* Machines on which services may run keep some room for the next ones: arrays take only what is above it. How much
+ * follows from how fast services arrive; with many machines it is next to nothing, with a few it would cost more than
+ * it brings, so it stays a small share. */
+#define RESERVE_SHARE 0.02
+static double slots_for(FkController *c, const FkMachine *m, const FkSpec *s) {
+  const FkType *t = fk_type_of(c, m);
+  if (!t || (m->rec->spot && !s->spot) || !fk_job_fits_type(s, t))
+    return 0;
+  double n = s->cpus > 0 ? floor((t->cpus - m->cpus - m->pend_cpus) / s->cpus + EPS) : 0;
+  return MAX(0, s->mem_gb > 0 ? MIN(n, floor((t->mem_gb - m->mem_gb - m->pend_mem) / s->mem_gb + EPS)) : n);
+}
+
+/* Slots above the reserve, of these machines; the reserve is for `part` of all services. */
+static double spare_slots(FkController *c, GPtrArray *machines, guint looked_after, double part) {
+  const FkSpec *s = c->view->service;
+  if (!s)
+    return G_MAXDOUBLE;
+  double free = 0;
+  for (guint i = 0; i < machines->len; i++)
+    free += slots_for(c, machines->pdata[i], s);
+  return free - floor(MIN(part * c->view->service_rate * RESERVE_S, RESERVE_SHARE * looked_after));
+}
+
+/* Whether an array's task may go there, and what is spare then. */
+static gboolean leaves_reserve(FkController *c, FkMachine *m, const FkSpec *s, double *spare) {
+  if (!c->view->service || *spare == G_MAXDOUBLE || s->shape != FK_SHAPE_ARRAY)
+    return TRUE;
+  double before = slots_for(c, m, c->view->service);
+  if (before <= 0)
+    return TRUE;
+  promise(m, s, 1);
+  double lost = before - slots_for(c, m, c->view->service);
+  promise(m, s, -1);
+  if (lost > 0 && *spare < lost)
+    return FALSE;
+  *spare -= lost;
+  return TRUE;
+}
+
 /* ------------------------------------------------------------------ the long path */
 
 /* Lower is better. */
@@ -307,12 +357,6 @@
   return best;
 }
 
-static void promise(FkMachine *m, const FkSpec *s, int sign) {
-  m->pend_cpus += sign * s->cpus;
-  m->pend_gpus += sign * s->gpus;
-  m->pend_mem += sign * s->mem_gb;
-}
-
 /* Where all waiting tasks of a gang could go, at this moment; NULL when there isn't room for all of them. */
 static GPtrArray *gang_plan(FkController *c, FkJob *j, GPtrArray *machines, const char *zone) {
   g_autoptr(GPtrArray) plan = g_ptr_array_new();
@@ -375,6 +419,7 @@
 }
 
 static void place_long(FkController *c, Batch *b, GPtrArray *jobs, GPtrArray *machines) {
+  double spare = spare_slots(c, machines, g_hash_table_size(c->view->machines), 1);
   for (guint i = 0; i < jobs->len && !batch_full(c, b); i++) {
     FkJob *j = jobs->pdata[i];
     if (!fk_spec_long(c, j->spec))
@@ -386,7 +431,7 @@
     guint32 waiting = fk_job_waiting(j);
     while (waiting-- && fk_team_allows(c, j->spec)) {
       FkMachine *best = fk_best_for_long(c, j, machines, NULL);
-      if (!best || !batch_book(c, b, j, best))
+      if (!best || !leaves_reserve(c, best, j->spec, &spare) || !batch_book(c, b, j, best))
         break;
     }
   }
@@ -458,7 +503,7 @@
 
 /* Late binding: a machine with room takes the tasks in its queue that are still waiting, in the order of jobs, not
  * of arrival: ranks and deadlines hold inside a queue too. */
-static void bind_queue(FkController *c, Batch *b, FkMachine *m) {
+static void bind_queue(FkController *c, Batch *b, FkMachine *m, double *spare) {
   GQueue *q = g_hash_table_lookup(c->queues, m->id);
   if (!q || g_queue_is_empty(q))
     return;
@@ -481,7 +526,7 @@
   for (guint i = 0; i < n && !batch_full(c, b); i++) {
     FkJob *j = waiting[i];
     while (short_is_ours(c, j) && fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) && fk_job_allows(c, j, m) &&
-           batch_book(c, b, j, m))
+           leaves_reserve(c, m, j->spec, spare) && batch_book(c, b, j, m))
       ;
   }
 }
@@ -539,8 +584,9 @@
     }
   }
   g_ptr_array_sort_with_data(open, by_load, c);
+  double spare = spare_slots(c, open, mine->len, 1.0 / fk_controllers(c));
   for (guint i = 0; i < open->len && !batch_full(c, b); i++)
-    bind_queue(c, b, open->pdata[i]);
+    bind_queue(c, b, open->pdata[i], &spare);
 }
 
 /* ------------------------------------------------------------------ room kept for the long path */
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#define PAGES_MIN 3 /* a transaction, and more as the budget allows */
 #define PAGES_MAX 20
 #define BYTES_MAX 48000
 #define WRITE_SHARE 0.4 /* of the store's write budget, all controllers together */
@@ -109,7 +110,7 @@
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->groups);
-  while (bytes < BYTES_MAX && (!t || t->writes->len < MIN(c->settings->txn_ops, PAGES_MAX)) &&
+  while (bytes < BYTES_MAX && (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX))) &&
          g_hash_table_iter_next(&it, NULL, &p)) {
     FkGroup *g = p;
     if (!g->dirty)
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -234,6 +234,7 @@
   g_hash_table_unref(v->corrections);
   g_hash_table_unref(v->orphans);
   g_hash_table_unref(v->touched);
+  fk_spec_unref(v->service);
   g_free(v);
 }
 
@@ -327,6 +328,8 @@
 static void learn(FkView *v, const FkSpec *s, double took_s) {
   if (s->shape == FK_SHAPE_SERVICE || s->estimate_s < 0.1)
     return;
+  v->took_s += took_s;
+  v->took_count++;
   double ratio = CLAMP(took_s / s->estimate_s, RATIO_MIN, RATIO_MAX);
   double *known = g_hash_table_lookup(v->corrections, s->class_name);
   if (!known) {
@@ -337,6 +340,19 @@
   *known += LEARN * (ratio - *known);
 }
 
+#define SERVICES_OVER_S 20.0
+#define SERVICES_GROWTH 2.0 /* a crowd isn't taken for the way things go on */
+
+void fk_view_rate_services(FkView *v) {
+  double dt = fk_time_between(v->service_rated, v->now);
+  if (dt < 1)
+    return;
+  double seen = MIN(v->services_seen / dt, SERVICES_GROWTH * v->service_rate + 0.5);
+  v->service_rate += (seen - v->service_rate) * MIN(1, dt / SERVICES_OVER_S);
+  v->services_seen = 0;
+  v->service_rated = v->now;
+}
+
 double fk_view_run_s(FkView *v, const FkSpec *s) {
   double *known = g_hash_table_lookup(v->corrections, s->class_name);
   return s->estimate_s * (known ? *known : 1);
@@ -531,6 +547,11 @@
     if (j->submitted_us > v->now.us)
       j->submitted_us = v->now.us;
     g_hash_table_insert(v->jobs, j->spec->id, j);
+    if (j->spec->shape == FK_SHAPE_SERVICE) {
+      fk_spec_unref(v->service);
+      v->service = fk_spec_ref(j->spec);
+      v->services_seen += MIN(j->spec->tasks, 8);
+    }
   }
   if (r->cancelled && !j->cancelled)
     for (guint32 i = 0; i < j->n_chunks; i++)
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -197,6 +197,12 @@
   GHashTable *final_tasks;
   GQueue *final_order;
   GHashTable *corrections; /* class -> double*: how long tasks really take, by their estimate */
+  FkSpec *service;         /* the latest service seen, or NULL */
+  double service_rate;     /* services seen a second, smoothed */
+  guint services_seen;     /* since the rate was worked out last */
+  FkTime service_rated;
+  double took_s;           /* of arrays' tasks done in this window: from booking to end, summed */
+  guint took_count;
   GHashTable *orphans;     /* paths of chunks without a job -> FkRev* */
   char *leader, *leader_life;
   FkRev leader_rev;
@@ -223,6 +229,8 @@
 void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks);
 /* The owner's estimate, corrected by what finished tasks of the class took. */
 double fk_view_run_s(FkView *v, const FkSpec *s);
+/* Once a second or so: how fast services arrive. */
+void fk_view_rate_services(FkView *v);
 FkPhase fk_job_phase(const FkJob *j);
 gboolean fk_job_complete(const FkJob *j);
 guint32 fk_job_waiting(const FkJob *j);
--- a/src/io/budget.c
+++ b/src/io/budget.c
@@ -9,13 +9,13 @@
   double rate, write_rate, burst_s;
   double tokens, write_tokens;
   gint64 last;
-  guint levels, max_queue, queued, timer;
+  guint levels, urgent, max_queue, queued, timer;
   GQueue *queues;
   FkBudgetSend send, shed;
   gpointer data;
 };
 
-FkBudget *fk_budget_new(double rate, double write_rate, double burst_s, guint levels, guint max_queue,
+FkBudget *fk_budget_new(double rate, double write_rate, double burst_s, guint levels, guint urgent, guint max_queue,
                         FkBudgetSend send, FkBudgetSend shed, gpointer data) {
   FkBudget *b = g_new0(FkBudget, 1);
   *b = (FkBudget){rate,
@@ -25,6 +25,7 @@
                   write_rate * burst_s,
                   g_get_monotonic_time(),
                   levels,
+                  urgent,
                   max_queue,
                   0,
                   0,
@@ -58,7 +59,11 @@
   b->write_tokens = MIN(b->write_rate * b->burst_s, b->write_tokens + s * b->write_rate);
 }
 
-static gboolean may(FkBudget *b, guint writes) {
+/* The first levels (holds, users) may draw on what comes in the next second: nobody who waits should wait for work in
+ * the background. */
+static gboolean may(FkBudget *b, guint level, guint writes) {
+  if (level < b->urgent)
+    return b->tokens >= -b->rate && (!writes || b->write_tokens >= -b->write_rate);
   /* a transaction larger than a whole burst goes once the bucket is full */
   double full = b->write_rate * b->burst_s;
   return b->tokens >= 1 && (!writes || b->write_tokens >= MIN((double)writes, full - 1e-3));
@@ -70,7 +75,7 @@
   for (guint i = 0; i < b->levels; i++)
     while (!g_queue_is_empty(&b->queues[i])) {
       Waiting *w = g_queue_peek_head(&b->queues[i]);
-      if (!may(b, w->writes))
+      if (!may(b, i, w->writes))
         return G_SOURCE_CONTINUE;
       g_queue_pop_head(&b->queues[i]);
       b->queued--;
@@ -93,7 +98,7 @@
   gboolean ahead = FALSE;
   for (guint i = 0; i <= level; i++)
     ahead |= !g_queue_is_empty(&b->queues[i]);
-  if (!ahead && may(b, writes)) {
+  if (!ahead && may(b, level, writes)) {
     b->tokens -= 1;
     b->write_tokens -= writes;
     b->send(b->data, item);
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -13,7 +13,8 @@
 #define STORE_DEADLINE_S 2.0
 #define BODY_MAX 65536
 #define AGAIN_MAX 6      /* times that a request over the store's budget is sent again */
-#define LEND 1.3         /* a controller may use somewhat more than its share: not all need theirs at once */
+#define LEND 1.2         /* a controller may use somewhat more than its share: not all need theirs at once ... */
+#define LEND_WRITES 0.9  /* ... but what users wait for must find room */
 
 struct FkShell {
   const FkSettings *settings;
@@ -490,7 +491,7 @@
   fk_controller_tick(s->core, now(), g_get_real_time());
   double share = fk_controller_share(s->core), writes = fk_controller_write_share(s->core);
   fk_budget_rates(s->store_budget, MIN(1, LEND * share) * s->settings->state_rps,
-                  MIN(1, LEND * writes) * s->settings->state_write_rps);
+                  MIN(1, LEND_WRITES * writes) * s->settings->state_write_rps);
   drain(s);
   return G_SOURCE_CONTINUE;
 }
@@ -518,9 +519,10 @@
   s->store = fk_http_new(32, 32, 60);
   s->workers = fk_http_new(400, 2, 3);
   s->cloud = fk_http_new(4, 4, 60);
-  s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8, 5, 2000,
+  s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8, FK_PRIO_RESULT + 1,
+                                  FK_PRIO_USER + 1, 2000,
                                   store_send, store_shed, s);
-  s->cloud_budget = fk_budget_new(settings->cloud_rps * 0.7, 1, 1.0, 2, 50, cloud_send, cloud_shed, s);
+  s->cloud_budget = fk_budget_new(settings->cloud_rps * 0.7, 1, 1.0, 2, 0, 50, cloud_send, cloud_shed, s);
   s->server = soup_server_new("server-header", "flaxknot", NULL);
   soup_server_add_early_handler(s->server, NULL, on_early, s, NULL);
   soup_server_add_handler(s->server, NULL, on_request, s, NULL);
--- a/test/sim.c
+++ b/test/sim.c
@@ -4,7 +4,7 @@
 
 #include "wire/store.h"
 
-#define N 3
+#define N_MAX 5
 #define DEADLINE_S 2.0
 #define SILENT -1.0
 
@@ -91,8 +91,12 @@
   GHashTable *store, *holds, *hires; /* path -> Item; id -> Hold; name -> GPtrArray */
   GPtrArray *history;                /* Change */
   gint64 outage;
-  Ctl ctl[N];
+  Ctl ctl[N_MAX];
+  int n;                     /* controllers */
+  double tokens, write_tokens; /* the store's budgets */
+  gint64 filled, slow_until, refused_until[N_MAX], peers_refuse_until;
   GPtrArray *workers, *jobs, *calls, *watches;
+  GHashTable *by_id, *job_by_id;
   GHashTable *requests; /* number -> Req */
   GHashTable *truth;    /* "job/task" -> Worker: where it is */
   SimResult r;
@@ -178,10 +182,11 @@
 static GPtrArray *changes_after(Sim *m, guint64 after_rev) {
   GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
   g_autoptr(GHashTable) last = g_hash_table_new(g_str_hash, g_str_equal);
-  for (guint i = 0; i < m->history->len; i++) {
+  guint first = m->history->len;
+  while (first && ((Change *)m->history->pdata[first - 1])->stamp > after_rev)
+    first--;
+  for (guint i = first; i < m->history->len; i++) {
     Change *c = m->history->pdata[i];
-    if (c->stamp <= after_rev)
-      continue;
     FkEvent *e = g_new0(FkEvent, 1);
     e->path = g_strdup(c->path);
     e->rev.n = c->stamp;
@@ -234,6 +239,8 @@
 
 /* ------------------------------------------------------------------ calls */
 
+static gboolean refused(Sim *m, int ctl) { return m->now < m->outage || m->now < m->refused_until[ctl]; }
+
 static gboolean alive(Call *c) {
   return !c->answered && c->sim->ctl[c->ctl].core && c->sim->ctl[c->ctl].gen == c->gen;
 }
@@ -339,7 +346,7 @@
 static void notify(Sim *m) {
   for (guint i = 0; i < m->watches->len;) {
     Call *c = m->watches->pdata[i];
-    if (m->now >= m->outage && m->epoch > c->out->rev.n) {
+    if (!refused(m, c->ctl) && m->epoch > c->out->rev.n) {
       g_ptr_array_remove_index_fast(m->watches, i);
       watch_answer(m, c);
     } else {
@@ -349,15 +356,33 @@
 }
 
 static void watch_ends(Sim *m, gpointer p) {
-  if (g_ptr_array_remove_fast(m->watches, p) && m->now >= m->outage)
+  if (g_ptr_array_remove_fast(m->watches, p) && !refused(m, ((Call *)p)->ctl))
     watch_answer(m, p);
 }
 
+/* The store's budgets, with bursts of one second's worth. */
+static gboolean within_budget(Sim *m, const FkOut *o) {
+  double s = (m->now - m->filled) / 1e6;
+  guint writes = o->kind == FK_OUT_COMMIT ? o->writes->len : 0;
+  m->filled = m->now;
+  m->tokens = MIN(m->s->state_rps, m->tokens + s * m->s->state_rps);
+  m->write_tokens = MIN(m->s->state_write_rps, m->write_tokens + s * m->s->state_write_rps);
+  if (m->plan.budgets && (m->tokens < 1 || (writes && m->write_tokens < writes))) {
+    m->r.refused++;
+    return FALSE;
+  }
+  m->tokens -= 1;
+  m->write_tokens -= writes;
+  m->r.requests++;
+  m->r.writes += writes;
+  return TRUE;
+}
+
 static void store_handles(Sim *m, gpointer p) {
   Call *c = p;
   FkOut *o = c->out;
   FkRev epoch = {m->epoch};
-  if (m->now < m->outage) {
+  if (m->now < m->outage || m->now < m->refused_until[c->ctl] || !within_budget(m, o)) {
     answer(c, FK_REFUSED, epoch, NULL, FALSE, NULL);
     return;
   }
@@ -393,7 +418,7 @@
       FkEvent *e = g_new0(FkEvent, 1);
       *e = (FkEvent){g_strdup(l->data), fk_store_record_from_json(l->data, j), {it->stamp}};
       g_ptr_array_add(events, e);
-      more = events->len >= 7; /* small pages: many of them */
+      more = events->len >= (m->plan.up > 50 ? 200 : 7); /* small pages: many of them */
     }
     answer(c, FK_OK, epoch, events, more, NULL);
     break;
@@ -605,10 +630,7 @@
 }
 
 static Worker *worker_of(Sim *m, const char *id) {
-  for (guint i = 0; i < m->workers->len; i++)
-    if (g_str_equal(((Worker *)m->workers->pdata[i])->id, id))
-      return m->workers->pdata[i];
-  return NULL;
+  return g_hash_table_lookup(m->by_id, id);
 }
 
 static void check_lease(Sim *m, Worker *w) {
@@ -653,7 +675,7 @@
   if (w->inflight == n->report) {
     w->inflight = 0;
     if (n->move)
-      w->home = (w->home + 1) % N;
+      w->home = (w->home + 1) % (guint)m->n;
     report_sent(m, w);
   }
   g_free(n);
@@ -767,10 +789,11 @@
   w->spot = spot;
   w->session = 1;
   w->tasks = g_ptr_array_new_with_free_func(wtask_free);
-  w->home = (guint)g_rand_int_range(m->rand, 0, N);
+  w->home = (guint)g_rand_int_range(m->rand, 0, m->n);
   w->born = m->now;
   w->sick = m->plan.deaths && chance(m, 0.1);
   g_ptr_array_add(m->workers, w);
+  g_hash_table_insert(m->by_id, w->id, w);
   after(m, boot, boots, w);
   return w;
 }
@@ -798,12 +821,12 @@
       guint here = 0;
       for (guint i = 0; i < m->workers->len; i++)
         here += !((Worker *)m->workers->pdata[i])->gone;
-      if (here >= m->plan.machines) {
+      if (here >= MAX(m->plan.machines, m->plan.up)) {
         answer(c, FK_CONFLICT, (FkRev){0}, NULL, FALSE, NULL);
         return;
       }
       names = g_ptr_array_new_with_free_func(g_free);
-      for (guint i = 0; i < o->count && here + i < m->plan.machines; i++)
+      for (guint i = 0; i < o->count && here + i < MAX(m->plan.machines, m->plan.up); i++)
         g_ptr_array_add(names, g_strdup(new_worker(m, o->zone, o->spot, between(m, 1, 8))->id));
       g_hash_table_insert(m->hires, g_strdup(o->name), names);
     }
@@ -841,10 +864,7 @@
 /* ------------------------------------------------------------------ users */
 
 static UJob *job_of(Sim *m, const char *id) {
-  for (guint i = 0; i < m->jobs->len; i++)
-    if (g_str_equal(((UJob *)m->jobs->pdata[i])->id, id))
-      return m->jobs->pdata[i];
-  return NULL;
+  return g_hash_table_lookup(m->job_by_id, id);
 }
 
 static void ujob_free(gpointer p) {
@@ -879,7 +899,7 @@
 }
 
 static void ask(Sim *m, UJob *j, int kind) {
-  int i = g_rand_int_range(m->rand, 0, N);
+  int i = g_rand_int_range(m->rand, 0, m->n);
   Ctl *c = &m->ctl[i];
   if (!c->core)
     return;
@@ -974,12 +994,13 @@
   j->run_s = between(m, 1, 15);
   j->finished = g_new0(guint8, j->tasks);
   g_ptr_array_add(m->jobs, j);
+  g_hash_table_insert(m->job_by_id, j->id, j);
   user_acts(m, j);
   if (m->now < (gint64)((m->plan.submit_s > 0 ? m->plan.submit_s : m->plan.seconds * 0.6) * 1e6))
-    after(m, between(m, 0.5, 6), user_submits, NULL);
+    after(m, between(m, 0.5, 6) / (m->plan.scale > 0 ? m->plan.scale : 1), user_submits, NULL);
 }
 
-static FkSettings *named[N];
+static FkSettings *named[N_MAX];
 
 /* Controllers ask each other what they have seen of the store. */
 static void peer_asked(Sim *m, gpointer p) {
@@ -987,7 +1008,7 @@
   int to = c->out->name[2] - '0';
   FkRev seen;
   double age_s;
-  if (!alive(c) || !m->ctl[to].core || chance(m, m->plan.lost))
+  if (!alive(c) || !m->ctl[to].core || chance(m, m->plan.lost) || m->now < m->peers_refuse_until)
     return;
   const char *life = fk_controller_seen(m->ctl[to].core, ctl_now(m, to), &seen, &age_s);
   c->answered = TRUE;
@@ -999,7 +1020,7 @@
 /* ------------------------------------------------------------------ controllers and troubles */
 
 static void to_store(Sim *m, int i, Call *c) {
-  double d = between(m, 0.001, 0.006) + c->out->delay_s;
+  double d = between(m, 0.001, 0.006) * (m->now < m->slow_until ? 15 : 1) + c->out->delay_s;
   if (m->now < m->ctl[i].cut_state)
     d = (m->ctl[i].cut_state - m->now) / 1e6 + 0.01; /* held back, and delivered late */
   else if (c->out->kind == FK_OUT_COMMIT && chance(m, m->plan.late))
@@ -1030,7 +1051,7 @@
       } else if (!chance(m, m->plan.lost) && m->now >= m->ctl[i].cut_workers) {
         Reply *r = g_new0(Reply, 1);
         *r = (Reply){req->w, *req, o->status, o->token, o->orders ? g_ptr_array_ref(o->orders) : NULL, -1};
-        for (int n = 0; o->report_to && n < N; n++) {
+        for (int n = 0; o->report_to && n < m->n; n++) {
           g_autofree char *name = g_strdup_printf("c-%d", n);
           if (g_str_equal(name, o->report_to))
             r->to = n;
@@ -1111,15 +1132,25 @@
 
 static void trouble(Sim *m, gpointer p) {
   if (m->now < (gint64)(m->plan.seconds * 0.6e6)) {
-    int i = g_rand_int_range(m->rand, 0, N);
-    switch (g_rand_int_range(m->rand, 0, 7)) {
+    int i = g_rand_int_range(m->rand, 0, m->n);
+    switch (g_rand_int_range(m->rand, 0, m->plan.more ? 10 : 7)) {
+    case 7:
+      m->slow_until = m->now + (gint64)(between(m, 10, 60) * 1e6);
+      break;
+    case 8:
+      /* one controller alone is refused, longer than a lease or shorter */
+      m->refused_until[i] = m->now + (gint64)(between(m, 5, 1.5 * m->s->lease_s + 10) * 1e6);
+      break;
+    case 9:
+      m->peers_refuse_until = m->now + (gint64)(between(m, 5, 40) * 1e6);
+      break;
     case 0:
       if (m->plan.kills)
         crash(m, i);
       break;
     case 1:
       if (m->plan.kills && chance(m, 0.3))
-        for (int n = 0; n < N; n++)
+        for (int n = 0; n < m->n; n++)
           crash(m, n);
       break;
     case 2:
@@ -1161,6 +1192,7 @@
   Sim *m = g_new0(Sim, 1);
   m->s = s;
   m->plan = *plan;
+  m->n = plan->controllers ? (int)plan->controllers : 3;
   m->rand = g_rand_new_with_seed((guint32)plan->seed);
   m->events = g_sequence_new(g_free);
   m->store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
@@ -1169,15 +1201,17 @@
   m->history = g_ptr_array_new_with_free_func(change_free);
   m->workers = g_ptr_array_new_with_free_func(worker_free);
   m->jobs = g_ptr_array_new_with_free_func(ujob_free);
+  m->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+  m->job_by_id = g_hash_table_new(g_str_hash, g_str_equal);
   m->calls = g_ptr_array_new();
   m->watches = g_ptr_array_new();
   m->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   m->truth = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  for (int i = 0; i < N; i++) {
+  for (int i = 0; i < m->n; i++) {
     named[i] = fk_settings_new();
     named[i]->node = g_strdup_printf("c-%d", i);
     named[i]->zone = g_strdup(i == 1 ? "south" : "north");
-    for (int k = 0; k < N; k++)
+    for (int k = 0; k < m->n; k++)
       if (k != i) {
         FkPeer *p = g_new0(FkPeer, 1);
         *p = (FkPeer){g_strdup_printf("c-%d", k), g_strdup(k == 1 ? "south" : "north"),
@@ -1203,8 +1237,8 @@
     start(m, GINT_TO_POINTER(i));
     after(m, 0.01 * i, tick, GINT_TO_POINTER(i));
   }
-  for (int i = 0; i < 3; i++)
-    new_worker(m, i ? "north" : "south", i == 2, 0.5);
+  for (guint i = 0; i < MAX(3, plan->up); i++)
+    new_worker(m, i % 3 ? "north" : "south", i % 3 == 2, 0.5);
   after(m, 1, user_submits, NULL);
   after(m, 1, world_tick, NULL);
   after(m, 20, trouble, NULL);
@@ -1225,7 +1259,7 @@
     }
   }
   SimResult r = m->r;
-  for (int i = 0; i < N; i++) {
+  for (int i = 0; i < m->n; i++) {
     fk_controller_free(m->ctl[i].core);
     fk_settings_free(named[i]);
   }
@@ -1242,6 +1276,8 @@
   g_hash_table_unref(m->holds);
   g_hash_table_unref(m->hires);
   g_ptr_array_unref(m->history);
+  g_hash_table_unref(m->by_id);
+  g_hash_table_unref(m->job_by_id);
   g_ptr_array_unref(m->workers);
   g_ptr_array_unref(m->jobs);
   g_rand_free(m->rand);
--- a/test/sim.h
+++ b/test/sim.h
@@ -13,11 +13,17 @@
   double lost, late; /* chance that a message's answer is lost, or the message is late */
   gboolean kills, cuts, outages, deaths, hangs, cancels, gangs;
   guint machines;
+  guint controllers; /* 0: three */
+  guint up;          /* machines at the start, if more than three; the cloud then has no more than these */
+  double scale;      /* jobs come so many times as often; 0: once */
+  gboolean budgets;  /* the store refuses what is over its rates */
+  gboolean more;     /* a slow store, one controller alone refused, controllers that refuse each other */
 } SimPlan;
 
 typedef struct {
   guint submitted, accepted, done, cancelled, started, finished;
   guint unfinished;
+  guint requests, writes, refused; /* at the store */
   char *broken; /* the first broken rule, or NULL */
 } SimResult;
 
--- /dev/null
+++ b/test/test_core.c
@@ -0,0 +1,327 @@
+/* One controller core, fed by hand: what its transactions are guarded by, and what it takes for proof. */
+#include <string.h>
+
+#include "core/internal.h"
+#include "io/budget.h"
+#include "wire/settings.h"
+#include "wire/store.h"
+
+typedef struct {
+  FkSettings *s;
+  FkController *c;
+  FkTime now;
+  guint64 epoch;
+  GPtrArray *outs; /* FkOut, all that came out since they were looked at */
+} Rig;
+
+static void pump(Rig *r) {
+  FkOut *o;
+  while ((o = fk_controller_next(r->c)))
+    g_ptr_array_add(r->outs, o);
+}
+
+static FkOut *find(Rig *r, FkOutKind kind, const char *key) {
+  for (guint i = r->outs->len; i--;) {
+    FkOut *o = r->outs->pdata[i];
+    gboolean hit = o->kind == kind && !key;
+    for (guint k = 0; key && o->kind == kind && o->writes && k < o->writes->len; k++)
+      hit |= g_str_has_prefix(g_array_index(o->writes, FkWrite, k).path, key);
+    if (hit)
+      return o;
+  }
+  return NULL;
+}
+
+static void tick(Rig *r, double s) {
+  for (double t = 0; t < s; t += 0.1) {
+    r->now = fk_time_add(r->now, 0.1);
+    fk_controller_tick(r->c, r->now, r->now.us + 5000000);
+    pump(r);
+  }
+}
+
+/* The watch tells of changes, all of one revision. `lines`: path and JSON by turns, NULL at the end. */
+static void watched(Rig *r, const char *const *lines) {
+  g_autoptr(GPtrArray) events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+  r->epoch++;
+  for (guint i = 0; lines && lines[i]; i += 2) {
+    FkEvent *e = g_new0(FkEvent, 1);
+    e->path = g_strdup(lines[i]);
+    e->rev.n = r->epoch;
+    g_autoptr(cJSON) j = fk_json_parse(lines[i + 1], strlen(lines[i + 1]));
+    e->record = fk_store_record_from_json(lines[i], j);
+    g_assert_nonnull(e->record);
+    g_ptr_array_add(events, e);
+  }
+  fk_controller_watched(r->c, r->now, FK_OK, events, (FkRev){r->epoch}, r->now);
+  pump(r);
+}
+
+#define SPEC                                                                                                 \
+  "{\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":2,\"tasks\":4,\"cpus\":2,\"gpus\":0,\"mem\":2,"      \
+  "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,"        \
+  "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16}"
+
+static char *group_key(const char *kind) {
+  g_autofree char *id = fk_group_id("north", "i-1");
+  return g_strconcat("fk/l/", kind, "/", id, NULL);
+}
+
+/* A controller that is ready, and home to machine i-1; `life` of the claim. */
+static Rig *rig_new(gboolean ours) {
+  Rig *r = g_new0(Rig, 1);
+  g_autofree char *text = NULL;
+  gsize len;
+  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
+  r->s = fk_settings_parse(text, len, NULL);
+  r->now.us = 100000000;
+  r->epoch = 10;
+  r->outs = g_ptr_array_new_with_free_func((GDestroyNotify)fk_out_free);
+  r->c = fk_controller_new(r->s, "now", 1, r->now);
+  tick(r, 0.1);
+  g_autoptr(GPtrArray) none = g_ptr_array_new();
+  fk_controller_listed(r->c, r->now, FK_OK, none, FALSE, (FkRev){10});
+  GPtrArray *types = g_ptr_array_new();
+  FkType *t = g_new0(FkType, 1);
+  *t = (FkType){g_strdup("box8"), 8, 0, 32, 1, 0.4, 0.1, 5, g_strsplit("north,south", ",", 0)};
+  g_ptr_array_add(types, t);
+  fk_controller_types(r->c, r->now, FK_OK, types);
+  g_ptr_array_unref(types);
+  g_autofree char *claim = group_key("g"), *page = group_key("m");
+  g_autofree char *claim_value =
+      ours ? g_strdup("{\"node\":\"c-0\",\"life\":\"now\"}") : g_strdup("{\"node\":\"c-1\",\"life\":\"x\"}");
+  const char *lines[] = {claim, claim_value, page, "{\"zone\":\"north\",\"m\":[[\"i-1\",\"box8\",\"127.0.0.1:9\",0]]}",
+                         "fk/l/j/run-1", SPEC, "fk/l/n/c-0", "{\"life\":\"now\"}", "fk/l/n/c-2", "{\"life\":\"y\"}", NULL};
+  watched(r, lines);
+  return r;
+}
+
+static void rig_free(Rig *r) {
+  fk_controller_free(r->c);
+  g_ptr_array_unref(r->outs);
+  fk_settings_free(r->s);
+  g_free(r);
+}
+
+static void report(Rig *r, guint64 session, guint64 seq, guint64 token, const char *state, FkWhy why) {
+  FkReport *rep = fk_report_new();
+  rep->machine = g_strdup("i-1");
+  rep->addr = g_strdup("127.0.0.1:9");
+  rep->type = g_strdup("box8");
+  rep->zone = g_strdup("north");
+  rep->session = session;
+  rep->seq = seq;
+  rep->token.n = token;
+  if (state) {
+    FkTaskReport *t = g_new0(FkTaskReport, 1);
+    *t = (FkTaskReport){g_strdup("run-1"), 0, {1}, g_str_equal(state, "running") ? FK_TASK_RUNNING : FK_TASK_EXITED, why};
+    g_ptr_array_add(rep->tasks, t);
+  }
+  fk_controller_report(r->c, r->now, (FkRequest){seq}, rep);
+  pump(r);
+}
+
+static gboolean guarded(const FkOut *t, const char *prefix) {
+  for (guint i = 0; i < t->guards->len; i++)
+    if (g_str_has_prefix(g_array_index(t->guards, FkGuard, i).path, prefix))
+      return TRUE;
+  return FALSE;
+}
+
+static guint starts(const FkOut *o) {
+  guint n = 0;
+  for (guint i = 0; o && o->orders && i < o->orders->len; i++)
+    n += ((FkOrder *)o->orders->pdata[i])->op == FK_ORDER_START;
+  return n;
+}
+
+/* A launch counts only while all that it was decided on still stands. */
+static void test_launch_guards(void) {
+  static const char *const needed[] = {"fk/l/f/c-0", "fk/l/g/north.", "fk/l/j/run-1", "fk/l/q/red", "fk/l/t/run-1/"};
+  Rig *r = rig_new(TRUE);
+  report(r, 1, 1, 11, NULL, FK_WHY_NONE);
+  tick(r, 1);
+  /* before anything else, launches of an earlier life are made impossible */
+  FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/f/");
+  g_assert_nonnull(t);
+  g_assert_null(find(r, FK_OUT_COMMIT, "fk/l/t/"));
+  fk_controller_committed(r->c, r->now, t->call, FK_OK, (FkRev){r->epoch + 1}, NULL);
+  const char *fence[] = {"fk/l/f/c-0", "{}", NULL};
+  watched(r, fence);
+  tick(r, 1);
+  t = find(r, FK_OUT_COMMIT, "fk/l/t/");
+  g_assert_nonnull(t);
+  for (guint i = 0; i < G_N_ELEMENTS(needed); i++)
+    g_assert_true(guarded(t, needed[i]));
+  /* unanswered, it may yet apply: nothing more is launched before the fence has changed */
+  fk_controller_committed(r->c, r->now, t->call, FK_UNKNOWN, (FkRev){0}, NULL);
+  g_ptr_array_set_size(r->outs, 0);
+  tick(r, 2);
+  g_assert_nonnull(find(r, FK_OUT_COMMIT, "fk/l/f/"));
+  g_assert_null(find(r, FK_OUT_COMMIT, "fk/l/t/"));
+  rig_free(r);
+}
+
+#define BOOKED "{\"f\":0,\"n\":4,\"a\":2,\"b\":[[0,1,\"i-1\",\"c-0\"]]}"
+
+/* An attempt whose end was sent to the store never starts again, whatever the view still shows. */
+static void test_ended_stays_ended(void) {
+  Rig *r = rig_new(TRUE);
+  const char *booked[] = {"fk/l/t/run-1/00000", BOOKED, NULL};
+  watched(r, booked);
+  report(r, 1, 1, 11, "running", FK_WHY_NONE);
+  report(r, 1, 2, 11, "exited", FK_WHY_ERROR);
+  tick(r, 1);
+  FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/r/c-0/");
+  g_assert_nonnull(t);
+  g_assert_true(guarded(t, "fk/l/g/north."));
+  g_assert_true(guarded(t, "fk/l/r/c-0/"));
+  /* the worker's lease runs out: it comes back with nothing, while the end is unanswered */
+  fk_controller_committed(r->c, r->now, t->call, FK_UNKNOWN, (FkRev){0}, NULL);
+  g_ptr_array_set_size(r->outs, 0);
+  report(r, 2, 3, 11, NULL, FK_WHY_NONE);
+  FkOut *reply = find(r, FK_OUT_REPLY, NULL);
+  g_assert_nonnull(reply);
+  g_assert_cmpint(reply->status, ==, 200);
+  g_assert_cmpuint(starts(reply), ==, 0);
+  tick(r, 1);
+  for (guint i = 0; i < r->outs->len; i++)
+    g_assert_cmpuint(starts(r->outs->pdata[i]), ==, 0);
+  rig_free(r);
+}
+
+/* Until a machine taken over has shown our token, its earlier home may have gone on answering for as long as it
+ * trusted its view: only then does the lease begin to run out. */
+static void test_earlier_homes_trust(void) {
+  Rig *r = rig_new(FALSE);
+  const char *booked[] = {"fk/l/t/run-1/00000", BOOKED, NULL};
+  watched(r, booked);
+  g_autofree char *claim = group_key("g");
+  const char *ours[] = {claim, "{\"node\":\"c-0\",\"life\":\"now\"}", NULL};
+  watched(r, ours);
+  double trust = r->s->cancel_s - r->s->lease_s * 1.0012 - 2, lease = r->s->lease_s;
+  double waited = 0;
+  while (waited < trust + lease + 20 && !find(r, FK_OUT_COMMIT, "fk/l/r/")) {
+    tick(r, 0.5);
+    waited += 0.5;
+    watched(r, NULL); /* the store is there all the time */
+  }
+  g_assert_cmpfloat(waited, >=, trust + lease);
+  g_assert_cmpfloat(waited, <, trust + lease + 10);
+  rig_free(r);
+}
+
+/* A group's token stays the same when machines join it or are marked; a page without a machine says it's gone. */
+static void test_groups(void) {
+  static const struct {
+    const char *zone, *machine, *group;
+  } ids[] = {
+      /* part of the store's layout: never to change */
+      {"north", "i-000001", "north.14"}, {"north", "i-000002", "north.8"}, {"a.b", "i-000231", "a.b.17"}};
+  for (guint i = 0; i < G_N_ELEMENTS(ids); i++) {
+    g_autofree char *id = fk_group_id(ids[i].zone, ids[i].machine);
+    g_assert_cmpstr(id, ==, ids[i].group);
+  }
+  Rig *r = rig_new(TRUE);
+  FkView *v = fk_controller_view(r->c);
+  FkMachine *m = fk_view_machine(v, "i-1");
+  guint64 token = m->group->rev.n;
+  g_autofree char *page = group_key("m");
+  const char *marked[] = {page, "{\"zone\":\"north\",\"m\":[[\"i-1\",\"box8\",\"127.0.0.1:9\",0,\"idle\",-1]]}", NULL};
+  watched(r, marked);
+  g_assert_cmpstr(m->mark, ==, "idle");
+  g_assert_cmpuint(m->group->rev.n, ==, token);
+  const char *gone[] = {page, "{\"m\":[]}", NULL};
+  watched(r, gone);
+  m = fk_view_machine(v, "i-1");
+  g_assert_true(!m || !m->rec);
+  rig_free(r);
+}
+
+/* Ends that a home writes down count against the chunk's bookings, until the chunk says so itself. */
+static void test_ends(void) {
+  static const struct {
+    const char *ends;
+    guint done, booked;
+  } cases[] = {{"{\"run-1/0\":{\"d\":\"1\"}}", 1, 1},       {"{\"run-1/0\":{\"r\":[0,1]}}", 0, 1},
+               {"{\"run-1/0\":{\"r\":[0,7]}}", 0, 2},       {"{\"run-1/0\":{\"d\":\"2\",\"r\":[0,1]}}", 1, 0},
+               {"{\"run-1/9\":{\"d\":\"f\"},\"x\":{}}", 0, 2}, {"{\"run-1/0\":{\"d\":\"c\"}}", 0, 2}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
+    for (int first = 0; first < 2; first++) {
+      Rig *r = rig_new(FALSE);
+      const char *chunk[] = {"fk/l/t/run-1/00000",
+                             "{\"f\":0,\"n\":4,\"a\":3,\"b\":[[0,1,\"i-1\",\"c-0\"],[1,2,\"i-1\",\"c-1\"]]}", NULL},
+                 *ends[] = {"fk/l/r/c-1/0", cases[i].ends, NULL};
+      watched(r, first ? ends : chunk);
+      watched(r, first ? chunk : ends);
+      FkJob *j = fk_view_job(fk_controller_view(r->c), "run-1");
+      g_assert_cmpuint(j->done, ==, cases[i].done);
+      g_assert_cmpuint(j->booked, ==, cases[i].booked);
+      g_assert_cmpfloat(fk_view_machine(fk_controller_view(r->c), "i-1")->cpus, ==, 2 * cases[i].booked);
+      /* the chunk takes it over, the page drops it */
+      const char *folded[] = {"fk/l/t/run-1/00000", "{\"f\":0,\"n\":4,\"a\":3,\"d\":\"3\",\"b\":[]}", "fk/l/r/c-1/0", "{}",
+                              NULL};
+      watched(r, folded);
+      g_assert_cmpuint(j->done, ==, 2);
+      g_assert_cmpuint(j->booked, ==, 0);
+      rig_free(r);
+    }
+}
+
+/* A split limit: what others launched doesn't count against our share, and a pause gives nobody anything. */
+static void test_split(void) {
+  static const struct {
+    const char *team, *chunk;
+    gboolean allowed;
+  } cases[] = {
+      {"{}", "[[0,1,\"i-1\",\"c-0\"]]", TRUE},
+      {"{\"split\":{\"c-0\":4}}", "[[0,1,\"i-1\",\"c-1\"],[1,2,\"i-1\",\"c-1\"]]", TRUE},
+      {"{\"split\":{\"c-0\":4}}", "[[0,1,\"i-1\",\"c-0\"],[1,2,\"i-1\",\"c-0\"]]", FALSE},
+      {"{\"split\":{\"c-1\":24}}", "[]", FALSE},
+      {"{\"split\":{},\"node\":\"c-1\"}", "[]", FALSE},
+  };
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(FALSE);
+    g_autofree char *chunk = g_strdup_printf("{\"f\":0,\"n\":4,\"a\":3,\"b\":%s}", cases[i].chunk);
+    const char *lines[] = {"fk/l/t/run-1/00000", chunk, "fk/l/q/red", cases[i].team, NULL};
+    watched(r, lines);
+    g_assert_cmpint(fk_team_allows(r->c, fk_view_job(fk_controller_view(r->c), "run-1")->spec), ==, cases[i].allowed);
+    rig_free(r);
+  }
+}
+
+static void count_sent(gpointer data, gpointer item) { ++*(guint *)data; }
+static void count_shed(gpointer data, gpointer item) {}
+
+/* What waits in the background stays within its share; what users wait for may run it into debt. */
+static void test_budget(void) {
+  guint sent = 0;
+  FkBudget *b = fk_budget_new(100, 10, 1.0, 3, 1, 100, count_sent, count_shed, &sent);
+  for (guint i = 0; i < 4; i++)
+    fk_budget_add(b, 2, 4, &sent); /* 10 writes are there: two go, the others wait */
+  g_assert_cmpuint(sent, ==, 2);
+  g_assert_cmpfloat(fk_budget_room(b), ==, 0); /* somebody waits already */
+  for (guint i = 0; i < 5; i++)
+    fk_budget_add(b, 0, 1, &sent);
+  g_assert_cmpuint(sent, ==, 7);
+  fk_budget_free(b);
+}
+
+static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+    g_log_default_handler(domain, level, text, data);
+}
+
+int main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_log_set_default_handler(quiet, NULL);
+  g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
+  g_test_add_func("/core/launch_guards", test_launch_guards);
+  g_test_add_func("/core/ended_stays_ended", test_ended_stays_ended);
+  g_test_add_func("/core/earlier_homes_trust", test_earlier_homes_trust);
+  g_test_add_func("/core/groups", test_groups);
+  g_test_add_func("/core/ends", test_ends);
+  g_test_add_func("/core/split", test_split);
+  g_test_add_func("/core/budget", test_budget);
+  return g_test_run();
+}
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -20,6 +20,8 @@
   gboolean all_done; /* everything must have finished by the end */
   SimPlan plan;
   guint64 also; /* ... and one that once broke a rule */
+  double writes_per_task, requests_per_s; /* the most that the store may be asked for; 0: any */
+  double limits;                          /* the teams' limits, times this */
 } Case;
 
 #define DAY .seconds = 260, .cancels = TRUE, .machines = 12
@@ -29,7 +31,19 @@
     .deaths = TRUE, .hangs = TRUE, .cancels = TRUE, .gangs = TRUE, .machines = 12                            \
   }
 
+#define FIVE .controllers = 5, .more = TRUE
+
 static const Case cases[] = {
+    /* five controllers, a store within its rates, refusals of one controller alone, peers that refuse each other */
+    {"five", 20, FALSE, {.seconds = 260, .cancels = TRUE, .machines = 30, .up = 12, .late = 0.02, .lost = 0.02,
+                         .kills = TRUE, .cuts = TRUE, .outages = TRUE, .deaths = TRUE, .hangs = TRUE, .gangs = TRUE,
+                         .scale = 3, .budgets = TRUE, FIVE}},
+    /* a few hundred machines: what the store is asked for is bounded, so that a regression in scale fails here */
+    {"scale", 1, FALSE, {.seconds = 150, .cancels = TRUE, .machines = 240, .up = 200, .scale = 30, .controllers = 5},
+     .writes_per_task = 4.5, .requests_per_s = 170, .limits = 20},
+    {"scale_kills", 2, FALSE, {.seconds = 150, .cancels = TRUE, .machines = 240, .up = 200, .scale = 20, .kills = TRUE,
+                               .controllers = 5},
+     .writes_per_task = 4.5, .requests_per_s = 170, .limits = 20},
     {"quiet", 3, TRUE, {.seconds = 700, .submit_s = 250, .cancels = TRUE, .gangs = TRUE, .machines = 12}},
     {"losses", 4, FALSE, {DAY, .lost = 0.05, .late = 0.03, .gangs = TRUE}},
     {"kills", 10, FALSE, {DAY, .kills = TRUE, .late = 0.02}},
@@ -49,6 +63,10 @@
 static void run_case(gconstpointer data) {
   const Case *c = data;
   g_autoptr(FkSettings) s = settings();
+  for (guint i = 0; c->limits > 0 && i < s->teams->len; i++) {
+    ((FkTeam *)s->teams->pdata[i])->cpus *= c->limits;
+    ((FkTeam *)s->teams->pdata[i])->cpus_max *= c->limits;
+  }
   const char *more = g_getenv("FK_SIM_SEEDS"); /* more schedules than CI's, by hand */
   guint64 seeds = more ? g_ascii_strtoull(more, NULL, 10) : c->seeds;
   const char *only = g_getenv("FK_SIM_ONLY"); /* one schedule, by its number */
@@ -69,6 +87,11 @@
                    r.finished);
     if (r.broken)
       g_error("%s", r.broken);
+    g_test_message("store: %u requests, %u writes, %u refused", r.requests, r.writes, r.refused);
+    if (c->writes_per_task > 0) {
+      g_assert_cmpfloat((double)r.writes, <=, c->writes_per_task * r.started);
+      g_assert_cmpfloat((double)r.requests, <=, c->requests_per_s * plan.seconds);
+    }
     g_assert_cmpuint(r.accepted, >, 10);
     g_assert_cmpuint(r.started, >, 10);
     if (c->all_done)
