--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -37,7 +37,7 @@
   GHashTable *calls;   /* return call -> GPtrArray of ids */
   GHashTable *returning;
   guint64 counter;
-  FkTime next, list_next, return_next;
+  FkTime next, list_next, return_next, drain_next;
   gboolean list_pending, listed_once;
   char *after;
   FkTime list_began;
@@ -651,7 +651,7 @@
     if (g_hash_table_contains(f->returning, m->id) || g_str_equal(m->mark, "notice"))
       continue;
     /* an idle machine goes only while nothing is booked there */
-    if (g_str_equal(m->mark, "idle") && (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
+    if ((g_str_equal(m->mark, "idle") || g_str_equal(m->mark, FK_MARK_DRAIN)) && (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
       continue;
     g_ptr_array_add(names, g_strdup(m->id));
   }
@@ -702,6 +702,91 @@
   return x->idle_since.us < y->idle_since.us ? -1 : x->idle_since.us > y->idle_since.us;
 }
 
+#define FEW 50.0 /* machines: with more of them demand is smoother, and an idle machine is sooner known to be spare */
+
+/* How long a machine may be idle. What spot machines cost is little against their boots, as long as there are few. */
+static double idle_limit_s(FkController *c, const FkMachine *m) {
+  double few = MIN(1, FEW / MAX(1, g_hash_table_size(c->view->machines)));
+  return c->settings->tuning.idle_s * (0.5 + 0.5 * few) * (m->rec->spot ? 1.5 + 2.5 * few : 1);
+}
+
+#define DEAR 4.0          /* times what its replicas would cost on the cheapest machines */
+#define DEAR_EVERY_S 2.0
+#define SETTLED_S 30.0
+
+/* What room for the task costs where it is cheapest. */
+static double cheapest(FkController *c, const FkSpec *s) {
+  double best = G_MAXDOUBLE;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->types);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    const FkType *t = p;
+    guint slots = fk_job_fits_type(s, t) ? slots_of(t->cpus, t->gpus, t->mem_gb, s) : 0;
+    if (slots)
+      best = MIN(best, t->price / slots);
+  }
+  return best;
+}
+
+/* How much dearer a machine is than what runs there needs; 0: it isn't for us to say. */
+static double dearness(FkController *c, const FkMachine *m) {
+  const FkType *t = fk_type_of(c, m);
+  double need = 0;
+  if (!t || m->mark || !m->books->len)
+    return 0;
+  for (guint i = 0; i < m->books->len; i++) {
+    const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
+    if (b->job->spec->shape != FK_SHAPE_SERVICE || b->job->cancelled || b->stop ||
+        fk_time_between(b->since, c->now) < SETTLED_S)
+      return 0;
+    need += cheapest(c, b->job->spec);
+  }
+  return (m->rec->spot ? t->spot_price : t->price) / need;
+}
+
+/* A large machine kept by a few replicas costs more than they are worth: they move where there is room, one machine at a
+ * time, when nothing waits. */
+static void drain_dear(FkController *c) {
+  FkFleet *f = c->fleet;
+  if (!fk_time_reached(c->now, f->drain_next))
+    return;
+  f->drain_next = fk_time_add(c->now, DEAR_EVERY_S);
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &p))
+    if (fk_job_waiting(p))
+      return;
+  FkMachine *worst = NULL;
+  double most = DEAR;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    double d = ((FkMachine *)p)->rec ? dearness(c, p) : 0;
+    if (d > most) {
+      worst = p;
+      most = d;
+    }
+  }
+  if (!worst)
+    return;
+  const FkSpec *s = g_array_index(worst->books, FkBookRef, 0).job->spec;
+  guint room = 0;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkMachine *m = p;
+    const FkType *t = fk_type_of(c, m);
+    if (t && m != worst && !m->mark && m->books->len && (!m->rec->spot || s->spot) && fk_job_fits_type(s, t) &&
+        t->price < fk_type_of(c, worst)->price)
+      room += slots_of(t->cpus - m->cpus, t->gpus - m->gpus, t->mem_gb - m->mem_gb, s);
+  }
+  if (room < 2 * worst->books->len)
+    return;
+  g_info("%s (%s) is left by %u replicas: it costs %.1f times what they need", worst->id, worst->rec->type,
+         worst->books->len, most);
+  fk_roster_mark(c, worst, FK_MARK_DRAIN, -1);
+}
+
 /* Idle machines that the plan has no use for, those idle for longest first. */
 static void give_back_idle(FkController *c, const Bins *bins) {
   g_autoptr(GPtrArray) idle = g_ptr_array_new();
@@ -711,7 +796,7 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
     if (m->rec && !m->mark && !m->books->len && m->pend_cpus <= 0 && fk_type_of(c, m) &&
-        fk_time_between(m->idle_since, c->now) > c->settings->tuning.idle_s * (m->rec->spot ? 4 : 1))
+        fk_time_between(m->idle_since, c->now) > idle_limit_s(c, m))
       g_ptr_array_add(idle, m);
   }
   g_ptr_array_sort(idle, longest_idle);
@@ -754,6 +839,7 @@
   demand(c, &bins);
   hire_planned(c, &bins);
   give_back_idle(c, &bins);
+  drain_dear(c);
   g_array_unref(bins.list);
   g_array_unref(bins.hire);
   g_hash_table_unref(bins.index);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -45,6 +45,7 @@
 typedef struct FkFleet FkFleet;
 typedef struct FkEnding FkEnding;
 
+#define FK_MARK_DRAIN "drain" /* what runs there moves, then it goes */
 #define FK_MARK_GONE "gone" /* proven gone; what is booked there is released, then its description goes */
 
 typedef struct {
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -348,7 +348,8 @@
   g_hash_table_iter_init(&it, c->view->machines);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
-    if (!m->rec || g_strcmp0(m->mark, "notice") != 0)
+    gboolean drain = g_strcmp0(m->mark, FK_MARK_DRAIN) == 0;
+    if (!m->rec || (!drain && g_strcmp0(m->mark, "notice") != 0))
       continue;
     double notice = m->notice_s - fk_time_between(m->mark_seen, c->now);
     for (guint i = 0; i < m->books->len; i++) {
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -37,7 +37,7 @@
 
 /* Who places the services, and who was short of it last, get more. */
 static double weight(FkController *c, const FkTeamUse *use, const char *node, guint n) {
-  return (g_str_equal(node, c->settings->node) ? LEADER_WEIGHT : 1) + (g_strcmp0(use->was_short, node) == 0 ? n : 0);
+  return (g_strcmp0(node, c->view->leader) == 0 ? LEADER_WEIGHT : 1) + (g_strcmp0(use->was_short, node) == 0 ? n : 0);
 }
 
 static GHashTable *shares(FkController *c, const FkTeam *team, const FkTeamUse *use) {
--- a/src/io/budget.c
+++ b/src/io/budget.c
@@ -5,6 +5,8 @@
   guint writes;
 } Waiting;
 
+#define ENOUGH 2.0
+
 struct FkBudget {
   double rate, write_rate, burst_s;
   double tokens, write_tokens;
@@ -64,9 +66,9 @@
 static gboolean may(FkBudget *b, guint level, guint writes) {
   if (level < b->urgent)
     return b->tokens >= -b->rate && (!writes || b->write_tokens >= -b->write_rate);
-  /* a transaction larger than a whole burst goes once the bucket is full */
-  double full = b->write_rate * b->burst_s;
-  return b->tokens >= 1 && (!writes || b->write_tokens >= MIN((double)writes, full - 1e-3));
+  /* What is large runs the budget into debt rather than wait for a full one: small ones going first would keep it
+   * waiting for ever. */
+  return b->tokens >= 1 && (!writes || b->write_tokens >= MIN((double)writes, ENOUGH));
 }
 
 static gboolean drain(gpointer data) {
@@ -135,7 +137,10 @@
     b->timer = g_timeout_add(15, drain, b);
 }
 
-double fk_budget_room(FkBudget *b) {
+double fk_budget_room(FkBudget *b, guint level) {
   refill(b);
-  return b->queued || b->tokens < 1 ? 0 : b->write_tokens;
+  for (guint i = 0; i <= level; i++)
+    if (!g_queue_is_empty(&b->queues[i]))
+      return 0;
+  return b->tokens < 1 ? 0 : b->write_tokens;
 }
--- a/src/io/budget.h
+++ b/src/io/budget.h
@@ -13,8 +13,8 @@
 void fk_budget_add(FkBudget *b, guint level, guint writes, gpointer item);
 /* What this controller's share is now. */
 void fk_budget_rates(FkBudget *b, double rate, double write_rate);
-/* Writes that would go out at once. */
-double fk_budget_room(FkBudget *b);
+/* Writes that would go out at once at this level. */
+double fk_budget_room(FkBudget *b, guint level);
 /* Refused for want of budget: the others have used it. It goes first again, after a pause. */
 void fk_budget_again(FkBudget *b, guint level, guint writes, gpointer item);
 /* Counts a request that goes out in any case (hold renewals, watches). */
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -89,7 +89,7 @@
   FkShell *s = sent->shell;
   FkOut *out = sent->out;
   FkOutcome o = outcome(status);
-  fk_controller_room(s->core, fk_budget_room(s->store_budget));
+  fk_controller_room(s->core, fk_budget_room(s->store_budget, FK_PRIO_LAUNCH));
   if (status == 429 && (out->kind == FK_OUT_COMMIT || out->kind == FK_OUT_GET) && out->tries++ < AGAIN_MAX) {
     g_free(sent);
     fk_budget_again(s->store_budget, out->kind == FK_OUT_GET ? FK_PRIO_USER : out->prio,
@@ -487,7 +487,7 @@
 
 static gboolean on_tick(gpointer data) {
   FkShell *s = data;
-  fk_controller_room(s->core, fk_budget_room(s->store_budget));
+  fk_controller_room(s->core, fk_budget_room(s->store_budget, FK_PRIO_LAUNCH));
   fk_controller_tick(s->core, now(), g_get_real_time());
   double share = fk_controller_share(s->core), writes = fk_controller_write_share(s->core);
   fk_budget_rates(s->store_budget, MIN(1, LEND * share) * s->settings->state_rps,
