--- /dev/null
+++ b/src/core/batch.h
@@ -0,0 +1,42 @@
+/* What the two paths of placement share: the launch in the making, and what there is room for. */
+#pragma once
+#include "core/internal.h"
+
+#define FK_EPS 1e-6
+#define FK_LAUNCH_MIN 4 /* writes that must be free for a launch */
+
+/* A transaction that books tasks in their jobs' chunks, guarded by all that it looked at. */
+typedef struct {
+  FkOut *txn;
+  GHashTable *chunks; /* path -> FkChunk, owned by the transaction */
+  GHashTable *teams;
+  guint bytes;
+  double wait_sum;
+  guint64 wait_count;
+  guint booked;
+} FkBatch;
+
+/* No further task goes in. */
+gboolean fk_batch_full(FkController *c, const FkBatch *b);
+/* Books the job's first waiting task on the machine; FALSE: it doesn't go in. */
+gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m);
+/* Room promised to launches that the view doesn't show yet is given up: the view shows them now, or they
+ * failed. */
+void fk_pending_clear(FkController *c);
+void fk_promise(FkMachine *m, const FkSpec *s, int sign);
+gboolean fk_team_allows_tasks(FkController *c, const FkSpec *s, guint32 tasks);
+gboolean fk_has_room(FkController *c, const FkMachine *m, double cpus, double mem);
+
+/* Room for the next services: slots above the reserve of these machines, which is for `part` of all services.
+ */
+double fk_spare_slots(FkController *c, GPtrArray *machines, guint looked_after, double part);
+/* Whether an array's task may go there, and what is spare then. */
+gboolean fk_leaves_reserve(FkController *c, FkMachine *m, const FkSpec *s, double *spare);
+
+/* long.c */
+void fk_place_long(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *machines);
+void fk_keep_for_long(FkController *c, GPtrArray *jobs, GPtrArray *machines, GArray *kept);
+void fk_give_up_kept(FkController *c, GArray *kept);
+
+/* short.c */
+void fk_place_short(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *mine);
--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -5,10 +5,10 @@
 
 #include <string.h>
 
-#define SETTLED_S 10.0   /* a controller that came back takes its groups back after this */
-#define LOST_S 60.0      /* a group lost to a live controller is left there for so long */
-#define CLAIMS_MAX 16    /* a transaction */
-#define BACK_MAX 2       /* groups taken back from the living at a time */
+#define SETTLED_S 10.0 /* a controller that came back takes its groups back after this */
+#define LOST_S 60.0    /* a group lost to a live controller is left there for so long */
+#define CLAIMS_MAX 16  /* a transaction */
+#define BACK_MAX 2     /* groups taken back from the living at a time */
 #define BACK_PAUSE_S 2.0
 
 gboolean fk_group_mine(FkController *c, const FkGroup *g) {
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -780,7 +780,9 @@
 double fk_controller_share(FkController *c) { return 1.0 / fk_controllers(c); }
 
 /* The leader writes for the services of all: it has two parts. */
-double fk_controller_write_share(FkController *c) { return (c->leading ? 2.0 : 1.0) / (fk_controllers(c) + 1); }
+double fk_controller_write_share(FkController *c) {
+  return (c->leading ? 2.0 : 1.0) / (fk_controllers(c) + 1);
+}
 
 gboolean fk_controller_up(FkController *c, FkTime now) {
   /* When the store answers others and not us, users are better served by them. When it answers nobody, taking
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -5,10 +5,10 @@
 
 #include <string.h>
 
-#define WRITE_SHARE 0.2 /* of the store's write budget, all controllers together */
+#define WRITE_SHARE 0.1 /* of the store's write budget, all controllers together */
 #define PAGES_MAX 64
 #define FINALS_MIN 7 /* writes */
-#define FULL 0.5 /* of a value's limit: the next page's turn */
+#define FULL 0.5     /* of a value's limit: the next page's turn */
 
 struct FkEnding {
   const char *machine; /* interned */
@@ -41,8 +41,13 @@
 
 void fk_end_book(FkController *c, const FkMachine *m, const FkBookRef *b, gboolean done, gboolean guarded) {
   FkEnding *e = g_new0(FkEnding, 1);
-  *e = (FkEnding){m->id,   guarded ? m->group->id : NULL, guarded ? m->group->rev : (FkRev){0}, g_strdup(b->job->spec->id),
-                  b->task, b->attempt,                    done};
+  *e = (FkEnding){m->id,
+                  guarded ? m->group->id : NULL,
+                  guarded ? m->group->rev : (FkRev){0},
+                  g_strdup(b->job->spec->id),
+                  b->task,
+                  b->attempt,
+                  done};
   g_hash_table_replace(c->ended, fk_attempt_key(e->job, e->task, e->attempt), e);
 }
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -47,8 +47,8 @@
 
 typedef struct {
   FkSpec *spec;
-  double rate;  /* arrivals a second, smoothed */
-  guint since;  /* seen since the last look */
+  double rate; /* arrivals a second, smoothed */
+  guint since; /* seen since the last look */
 } Rate;
 
 static void booting_free(gpointer p) {
@@ -241,8 +241,8 @@
 /* ------------------------------------------------------------------ demand */
 
 /* What the fleet would do, played through in thought: room now, room when running tasks end and when machines
- * come up. Only work that would wait for too long is worth renting for. Machines, and the room that tasks will
- * leave, are alike in large numbers: those that are go into one bin with a count. */
+ * come up. Only work that would wait for too long is worth renting for. Machines, and the room that tasks
+ * will leave, are alike in large numbers: those that are go into one bin with a count. */
 typedef enum { BIN_IDLE, BIN_UP, BIN_COMING, BIN_LATER } BinKind;
 typedef struct {
   const FkType *type;
@@ -272,9 +272,10 @@
 
 static gboolean bin_equal(gconstpointer a, gconstpointer b) { return memcmp(a, b, sizeof(BinKey)) == 0; }
 
-/* Room that is there counts a little short, room that will be left a little long: what leaves it fits in again. */
-static void bin_add(Bins *b, BinKind kind, const FkType *type, const char *zone, gboolean spot, guint count, double cpus,
-                    double gpus, double mem, double at) {
+/* Room that is there counts a little short, room that will be left a little long: what leaves it fits in
+ * again. */
+static void bin_add(Bins *b, BinKind kind, const FkType *type, const char *zone, gboolean spot, guint count,
+                    double cpus, double gpus, double mem, double at) {
   if (!count || (cpus < 0.25 && gpus < 0.25) || mem < 0.25)
     return;
   double up = kind == BIN_LATER ? 1 : 1e-6;
@@ -309,7 +310,8 @@
 
 /* How many such tasks one machine of the bin has room for. */
 static guint bin_slots(const Bin *b, const FkSpec *s) {
-  if ((b->key.spot && !s->spot) || (s->zone && !g_str_equal(s->zone, b->key.zone)) || !fk_job_fits_type(s, b->key.type))
+  if ((b->key.spot && !s->spot) || (s->zone && !g_str_equal(s->zone, b->key.zone)) ||
+      !fk_job_fits_type(s, b->key.type))
     return 0;
   return slots_of(b->cpus, b->gpus, b->mem, s);
 }
@@ -318,8 +320,10 @@
 static int bin_earliest(const Bins *bins, const FkSpec *s) {
   int best = -1;
   for (guint i = 0; i < bins->list->len; i++) {
-    const Bin *b = &g_array_index(bins->list, Bin, i), *x = best < 0 ? NULL : &g_array_index(bins->list, Bin, best);
-    if (!b->count || (x && (b->at > x->at || (b->at == x->at && (b->key.kind != BIN_UP || x->key.kind == BIN_UP)))))
+    const Bin *b = &g_array_index(bins->list, Bin, i),
+              *x = best < 0 ? NULL : &g_array_index(bins->list, Bin, best);
+    if (!b->count ||
+        (x && (b->at > x->at || (b->at == x->at && (b->key.kind != BIN_UP || x->key.kind == BIN_UP)))))
       continue;
     if (bin_slots(b, s))
       best = (int)i;
@@ -334,12 +338,13 @@
         rest = n % slots;
   BinKind kind = b.key.kind == BIN_IDLE ? BIN_UP : b.key.kind;
   g_array_index(bins->list, Bin, at).count -= full + (rest > 0);
-  bin_add(bins, kind, b.key.type, b.key.zone, b.key.spot, full, b.cpus - slots * s->cpus, b.gpus - slots * s->gpus,
-          b.mem - slots * s->mem_gb, b.at);
-  bin_add(bins, kind, b.key.type, b.key.zone, b.key.spot, rest > 0, b.cpus - rest * s->cpus, b.gpus - rest * s->gpus,
-          b.mem - rest * s->mem_gb, b.at);
+  bin_add(bins, kind, b.key.type, b.key.zone, b.key.spot, full, b.cpus - slots * s->cpus,
+          b.gpus - slots * s->gpus, b.mem - slots * s->mem_gb, b.at);
+  bin_add(bins, kind, b.key.type, b.key.zone, b.key.spot, rest > 0, b.cpus - rest * s->cpus,
+          b.gpus - rest * s->gpus, b.mem - rest * s->mem_gb, b.at);
   if (s->shape != FK_SHAPE_SERVICE)
-    bin_add(bins, BIN_LATER, b.key.type, b.key.zone, b.key.spot, n, s->cpus, s->gpus, s->mem_gb, b.at + run_s);
+    bin_add(bins, BIN_LATER, b.key.type, b.key.zone, b.key.spot, n, s->cpus, s->gpus, s->mem_gb,
+            b.at + run_s);
   return n;
 }
 
@@ -375,8 +380,7 @@
           continue;
         /* booting and fetching are paid for as well */
         double ready = t->boot_s + s->image_gb / MAX(0.01, t->fetch_gb_per_s);
-        double cost =
-            (spot ? t->spot_price : t->price) * (1 + ready / (2 * run_s)) / MIN(slots, tasks);
+        double cost = (spot ? t->spot_price : t->price) * (1 + ready / (2 * run_s)) / MIN(slots, tasks);
         if (cost < best_cost) {
           best_cost = cost;
           *offer = (Offer){t, t->zones[z], spot, slots, ready};
@@ -470,8 +474,8 @@
     const FkType *t = fk_type_of(c, m);
     if (!t || m->mark)
       continue;
-    bin_add(bins, m->books->len ? BIN_UP : BIN_IDLE, t, m->rec->zone, m->rec->spot, 1, t->cpus - m->cpus, t->gpus - m->gpus,
-            t->mem_gb - m->mem_gb, 0);
+    bin_add(bins, m->books->len ? BIN_UP : BIN_IDLE, t, m->rec->zone, m->rec->spot, 1, t->cpus - m->cpus,
+            t->gpus - m->gpus, t->mem_gb - m->mem_gb, 0);
     for (guint i = 0; i < m->books->len; i++) {
       FkBookRef *r = &g_array_index(m->books, FkBookRef, i);
       const FkSpec *s = r->job->spec;
@@ -504,7 +508,8 @@
 /* Machines to be rented for so many tasks; they go into the plan as if they were on their way. */
 static void plan_hire(Bins *bins, const Offer *o, guint tasks) {
   guint n = (tasks + o->slots - 1) / o->slots;
-  bin_add(bins, BIN_COMING, o->type, o->zone, o->spot, n, o->type->cpus, o->type->gpus, o->type->mem_gb, o->ready_s);
+  bin_add(bins, BIN_COMING, o->type, o->zone, o->spot, n, o->type->cpus, o->type->gpus, o->type->mem_gb,
+          o->ready_s);
   for (guint i = 0; i < bins->hire->len; i++) {
     Bin *h = &g_array_index(bins->hire, Bin, i);
     if (h->key.type == o->type && h->key.spot == (guint32)o->spot && g_str_equal(h->key.zone, o->zone)) {
@@ -523,7 +528,8 @@
   g_hash_table_iter_init(&it, c->fleet->rates);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     Rate *r = p;
-    guint want = (guint)CLAMP(ceil(r->rate * c->settings->tuning.headroom_s), 1, 2000) * MAX(1, MIN(r->spec->tasks, 8));
+    guint want = (guint)CLAMP(ceil(r->rate * c->settings->tuning.headroom_s), 1, 2000) *
+                 MAX(1, MIN(r->spec->tasks, 8));
     while (want) {
       int at = bin_earliest(bins, r->spec);
       Offer offer;
@@ -577,7 +583,8 @@
       g_ptr_array_add(jobs, p);
   g_ptr_array_sort(jobs, rank_order);
   plan_headroom(c, bins);
-  g_autoptr(GHashTable) planned = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free); /* team -> cpus */
+  g_autoptr(GHashTable) planned =
+      g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free); /* team -> cpus */
   for (guint i = 0; i < jobs->len && i < PLAN_JOBS; i++) {
     FkJob *j = jobs->pdata[i];
     double *used = g_hash_table_lookup(planned, j->spec->team);
@@ -592,8 +599,8 @@
 
 /* ------------------------------------------------------------------ returning */
 
-/* The cloud's 200 is proof that the machine, and all that was on it, is gone. Its home releases what is booked there,
- * then its description goes. */
+/* The cloud's 200 is proof that the machine, and all that was on it, is gone. Its home releases what is
+ * booked there, then its description goes. */
 static void forget_machine(FkController *c, FkMachine *m) {
   if (m->books->len)
     fk_roster_mark(c, m, FK_MARK_GONE, -1);
@@ -651,7 +658,8 @@
     if (g_hash_table_contains(f->returning, m->id) || g_str_equal(m->mark, "notice"))
       continue;
     /* an idle machine goes only while nothing is booked there */
-    if ((g_str_equal(m->mark, "idle") || g_str_equal(m->mark, FK_MARK_DRAIN)) && (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
+    if ((g_str_equal(m->mark, "idle") || g_str_equal(m->mark, FK_MARK_DRAIN)) &&
+        (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
       continue;
     g_ptr_array_add(names, g_strdup(m->id));
   }
@@ -702,15 +710,17 @@
   return x->idle_since.us < y->idle_since.us ? -1 : x->idle_since.us > y->idle_since.us;
 }
 
-#define FEW 50.0 /* machines: with more of them demand is smoother, and an idle machine is sooner known to be spare */
+#define FEW                                                                                                  \
+  50.0 /* machines: with more of them demand is smoother, and an idle machine is sooner known to be spare */
 
-/* How long a machine may be idle. What spot machines cost is little against their boots, as long as there are few. */
+/* How long a machine may be idle. What spot machines cost is little against their boots, as long as there are
+ * few. */
 static double idle_limit_s(FkController *c, const FkMachine *m) {
   double few = MIN(1, FEW / MAX(1, g_hash_table_size(c->view->machines)));
   return c->settings->tuning.idle_s * (0.5 + 0.5 * few) * (m->rec->spot ? 1.5 + 2.5 * few : 1);
 }
 
-#define DEAR 4.0          /* times what its replicas would cost on the cheapest machines */
+#define DEAR 4.0 /* times what its replicas would cost on the cheapest machines */
 #define DEAR_EVERY_S 2.0
 #define SETTLED_S 30.0
 
@@ -745,8 +755,8 @@
   return (m->rec->spot ? t->spot_price : t->price) / need;
 }
 
-/* A large machine kept by a few replicas costs more than they are worth: they move where there is room, one machine at a
- * time, when nothing waits. */
+/* A large machine kept by a few replicas costs more than they are worth: they move where there is room, one
+ * machine at a time, when nothing waits. */
 static void drain_dear(FkController *c) {
   FkFleet *f = c->fleet;
   if (!fk_time_reached(c->now, f->drain_next))
@@ -776,8 +786,8 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
     const FkType *t = fk_type_of(c, m);
-    if (t && m != worst && !m->mark && m->books->len && (!m->rec->spot || s->spot) && fk_job_fits_type(s, t) &&
-        t->price < fk_type_of(c, worst)->price)
+    if (t && m != worst && !m->mark && m->books->len && (!m->rec->spot || s->spot) &&
+        fk_job_fits_type(s, t) && t->price < fk_type_of(c, worst)->price)
       room += slots_of(t->cpus - m->cpus, t->gpus - m->gpus, t->mem_gb - m->mem_gb, s);
   }
   if (room < 2 * worst->books->len)
@@ -805,7 +815,8 @@
     guint spare = b->key.kind == BIN_IDLE ? b->count : 0;
     for (guint k = 0; k < idle->len && spare; k++) {
       FkMachine *m = idle->pdata[k];
-      if (!m || m->type != b->key.type || m->rec->spot != (gboolean)b->key.spot || !g_str_equal(m->rec->zone, b->key.zone))
+      if (!m || m->type != b->key.type || m->rec->spot != (gboolean)b->key.spot ||
+          !g_str_equal(m->rec->zone, b->key.zone))
         continue;
       fk_roster_mark(c, m, "idle", -1);
       idle->pdata[k] = NULL;
@@ -834,7 +845,8 @@
     return;
   f->next = fk_time_add(c->now, TICK_S);
   learn_rates(c, TICK_S);
-  Bins bins = {g_array_new(FALSE, TRUE, sizeof(Bin)), g_hash_table_new_full(bin_hash, bin_equal, g_free, NULL),
+  Bins bins = {g_array_new(FALSE, TRUE, sizeof(Bin)),
+               g_hash_table_new_full(bin_hash, bin_equal, g_free, NULL),
                g_array_new(FALSE, TRUE, sizeof(Bin))};
   demand(c, &bins);
   hire_planned(c, &bins);
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -6,13 +6,13 @@
 #define MARGIN_S 2.0
 #define MAX_ORDERS 200   /* an answer's line stays far below 64 KiB */
 #define COME_BACK_S 12.0 /* a worker that comes back within this can't reach its home */
-#define RECLAIM_S 3.0 /* a claim made anew must have had time to be heard of */
+#define RECLAIM_S 3.0    /* a claim made anew must have had time to be heard of */
 #define SICK_FAILURES 3
-#define PROBE_AFTER 1.4  /* report intervals without a report: ask the machine itself */
-#define WATCHED_S 3.0    /* machines with services are looked after as if they reported at least so often */
+#define PROBE_AFTER 1.4   /* report intervals without a report: ask the machine itself */
+#define WATCHED_S 3.0     /* machines with services are looked after as if they reported at least so often */
 #define SILENT_MORE_S 2.3 /* and the answer is waited for so long */
-#define SLICES 5         /* machines are looked through in so many ticks */
-#define CUT_OFF 0.25     /* when fewer than this share are heard, it is we who are cut off */
+#define SLICES 5          /* machines are looked through in so many ticks */
+#define CUT_OFF 0.25      /* when fewer than this share are heard, it is we who are cut off */
 
 FkHome *fk_home_new(void) {
   FkHome *h = g_new0(FkHome, 1);
@@ -32,9 +32,7 @@
   g_free(h);
 }
 
-gboolean fk_is_mine(FkController *c, const FkMachine *m) {
-  return m->group && fk_group_mine(c, m->group);
-}
+gboolean fk_is_mine(FkController *c, const FkMachine *m) { return m->group && fk_group_mine(c, m->group); }
 
 /* How long a home may answer for without a fresh look at the store: a cancellation that it hasn't seen is
  * then met by the end of the lease. See docs/design.md, "Cancellation". */
@@ -326,8 +324,8 @@
   }
 }
 
-/* Its workers can't reach the group's home, or the one that should have it: two of them, or one twice, or all there
- * are, came back from there. */
+/* Its workers can't reach the group's home, or the one that should have it: two of them, or one twice, or all
+ * there are, came back from there. */
 static void came_back(FkController *c, FkGroup *g, const char *machine) {
   FkTime *again = g_hash_table_lookup(g->back, machine);
   gboolean twice = again && fk_time_between(*again, c->now) < 3 * COME_BACK_S;
@@ -362,7 +360,8 @@
     FkRedirect *d = g_hash_table_lookup(c->redirects, report->machine);
     gboolean sent_there = d && g_str_equal(d->to, to) && fk_time_between(d->when, c->now) < COME_BACK_S;
     if (!g_str_equal(to, c->settings->node)) {
-      /* It belongs to another. If it comes back soon after having been sent there, it can't reach that one. */
+      /* It belongs to another. If it comes back soon after having been sent there, it can't reach that one.
+       */
       if (!seen && sent_there)
         came_back(c, g, report->machine);
       if (!g->wanted && !(seen && fk_rev_eq(*seen, g->rev))) {
@@ -505,8 +504,8 @@
   return FALSE;
 }
 
-/* How long a machine may be quiet until it is asked itself. Where reports are rare, a machine with services isn't
- * left alone for that long. */
+/* How long a machine may be quiet until it is asked itself. Where reports are rare, a machine with services
+ * isn't left alone for that long. */
 static double probe_after_s(FkController *c, const FkMachine *m) {
   double report_s = c->settings->report_s;
   return PROBE_AFTER * (has_service(m) ? MIN(report_s, WATCHED_S) : report_s);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -24,9 +24,9 @@
   GHashTable *offered; /* starts in the answer to the latest report */
   guint64 offered_seq;
   FkTime command_after;
-  guint unanswered;    /* direct calls in a row, since it was heard last */
-  guint failures;      /* tasks that failed here in a row */
-  FkRev rev;           /* the claim, and since when */
+  guint unanswered; /* direct calls in a row, since it was heard last */
+  guint failures;   /* tasks that failed here in a row */
+  FkRev rev;        /* the claim, and since when */
   FkTime claimed_at;
 };
 
@@ -46,7 +46,7 @@
 typedef struct FkEnding FkEnding;
 
 #define FK_MARK_DRAIN "drain" /* what runs there moves, then it goes */
-#define FK_MARK_GONE "gone" /* proven gone; what is booked there is released, then its description goes */
+#define FK_MARK_GONE "gone"   /* proven gone; what is booked there is released, then its description goes */
 
 typedef struct {
   const char *machine; /* interned */
@@ -89,7 +89,7 @@
   FkTime node_retry;
 
   /* users */
-  GQueue *verify; /* waiting FkAsk */
+  GQueue *verify;                                    /* waiting FkAsk */
   guint launches, launch_conflicts, launch_failures; /* in this window */
   gboolean verifying;
   FkTime verify_after;
@@ -101,7 +101,7 @@
   GHashTable *redirects; /* machine -> FkRedirect */
   GHashTable *commands;  /* call -> machine id (interned) */
 
-  GHashTable *ended;     /* attempt -> FkEnding: proven, to be written down */
+  GHashTable *ended; /* attempt -> FkEnding: proven, to be written down */
   gboolean ends_sending;
   guint ends_page;
   FkRev ends_wait;
@@ -115,8 +115,8 @@
   gboolean splitting;
   FkRev split_wait;
   FkTime last_tick, late_until; /* we were too slow lately to tell who is silent */
-  double write_room; /* writes that would go out at once */
-  guint slice; /* of the machines, to be looked through next */
+  double write_room;            /* writes that would go out at once */
+  guint slice;                  /* of the machines, to be looked through next */
 
   /* launches */
   gboolean fence_needed, fencing; /* a launch may yet apply: a write of our fence makes that impossible */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -144,7 +144,8 @@
   g_info("launches %u, refused %u, failed %u; to write down: %u ends", c->launches, c->launch_conflicts,
          c->launch_failures, g_hash_table_size(c->ended));
   c->launches = c->launch_conflicts = c->launch_failures = 0;
-  g_info("store, transactions and writes: holds %u/%u, users %u/%u, claims %u/%u, launches and pages %u/%u, ends %u/%u",
+  g_info("store, transactions and writes: holds %u/%u, users %u/%u, claims %u/%u, launches and pages %u/%u, "
+         "ends %u/%u",
          c->txns[0], c->txn_writes[0], c->txns[1], c->txn_writes[1], c->txns[2], c->txn_writes[2], c->txns[3],
          c->txn_writes[3], c->txns[4], c->txn_writes[4]);
   memset(c->txns, 0, sizeof c->txns);
@@ -340,8 +341,8 @@
   g_array_append_val(c->pending, p);
 }
 
-/* A machine that the cloud will take back: what can't end there in time moves now, rather than lose the rest of the
- * notice as well. A task that can save does so; one that will just end in time stays. */
+/* A machine that the cloud will take back: what can't end there in time moves now, rather than lose the rest
+ * of the notice as well. A task that can save does so; one that will just end in time stays. */
 static void leave_noticed(FkController *c, Stops *stops) {
   GHashTableIter it;
   gpointer p;
--- /dev/null
+++ b/src/core/long.c
@@ -0,0 +1,174 @@
+/* The long path: the leader places services, gangs and long arrays, each task on the best machine that isn't
+ * barred; and the other controllers leave it the room that it would take. */
+#include "core/batch.h"
+
+#define GANG_LAUNCH_S 8.0 /* all transactions of one gang's launch */
+
+/* ------------------------------------------------------------------ the long path */
+
+/* Lower is better. */
+static double long_cost(FkController *c, const FkJob *j, const FkMachine *m) {
+  const FkType *t = fk_type_of(c, m);
+  double fetch =
+      g_hash_table_contains(m->images, j->spec->image) ? 0 : j->spec->image_gb / MAX(0.01, t->fetch_gb_per_s);
+  double price = m->rec->spot ? t->spot_price : t->price;
+  double left = (t->cpus - m->cpus - m->pend_cpus - j->spec->cpus) / t->cpus;
+  /* Whether it must fetch at all counts most, then what it costs to keep the machine for as long as the task
+   * runs there: a few replicas must not hold the largest machine. Last, the fuller machine. */
+  return (fetch > 0.3 ? 10 : 0) + fetch * 0.5 + price * 3 + left - (m->long_cpus > 0 ? 0.5 : 0);
+}
+
+/* The blacklist protects short tasks from newly arrived long ones of their own rank or below. Live services
+ * of a higher rank would wait behind work that they may preempt, and a long job that has itself waited for
+ * longer than the bound on short waits is no longer newly arrived: for both a barred machine is the last
+ * choice. */
+static gboolean passes_bar(FkController *c, const FkJob *j) {
+  return j->spec->rank < FK_RANK_NORMAL ||
+         fk_time_between((FkTime){j->submitted_us}, c->now) > c->settings->tuning.max_wait_s;
+}
+
+FkMachine *fk_best_for_long(FkController *c, const FkJob *j, GPtrArray *machines, const char *zone) {
+  FkMachine *best = NULL;
+  double best_cost = 0;
+  for (guint k = 0; k < machines->len; k++) {
+    FkMachine *m = machines->pdata[k];
+    if ((m->barred && !passes_bar(c, j)) || (zone && !g_str_equal(zone, m->rec->zone)) ||
+        !fk_room(c, m, j->spec) || !fk_job_allows(c, j, m))
+      continue;
+    double cost = long_cost(c, j, m) + (m->barred ? 1000 : 0);
+    if (!best || cost < best_cost) {
+      best = m;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+/* Where all waiting tasks of a gang could go, at this moment; NULL when there isn't room for all of them. */
+static GPtrArray *gang_plan(FkController *c, FkJob *j, GPtrArray *machines, const char *zone) {
+  g_autoptr(GPtrArray) plan = g_ptr_array_new();
+  g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
+  guint32 waiting = fk_job_waiting(j), half = (j->spec->tasks + 1) / 2;
+  g_autoptr(GPtrArray) open = g_ptr_array_copy(machines, NULL, NULL);
+  for (guint32 i = 0; i < j->n_chunks; i++)
+    for (guint k = 0; j->chunks[i] && k < j->chunks[i]->bookings->len; k++) {
+      FkMachine *m = fk_view_machine(c->view, g_array_index(j->chunks[i]->bookings, FkBooking, k).machine);
+      if (m && m->rec)
+        g_hash_table_insert(zones, (gpointer)m->rec->zone,
+                            GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(zones, m->rec->zone)) + 1));
+    }
+  while (plan->len < waiting) {
+    FkMachine *m = fk_best_for_long(c, j, open, zone);
+    if (!m)
+      break;
+    guint in_zone = GPOINTER_TO_UINT(g_hash_table_lookup(zones, m->rec->zone));
+    if (j->spec->spread && in_zone >= half) {
+      g_ptr_array_remove_fast(open, m);
+      continue;
+    }
+    g_hash_table_insert(zones, (gpointer)m->rec->zone, GUINT_TO_POINTER(in_zone + 1));
+    fk_promise(m, j->spec, 1);
+    g_ptr_array_add(plan, m);
+  }
+  for (guint i = 0; i < plan->len; i++)
+    fk_promise(plan->pdata[i], j->spec, -1);
+  return plan->len == waiting ? g_steal_pointer(&plan) : NULL;
+}
+
+/* A gang is placed whole: a part of it would only wait on its machines. */
+static void place_gang(FkController *c, FkBatch *b, FkJob *j, GPtrArray *machines) {
+  guint32 waiting = fk_job_waiting(j);
+  /* A launch goes on only while every task that it has booked still is: a task that has left since must not
+   * get the same attempt number again. */
+  if ((j->booked && (fk_time_reached(c->now, j->gang_until) || j->booked != j->gang_booked)) ||
+      !fk_team_allows_tasks(c, j->spec, waiting))
+    return;
+  g_autoptr(GPtrArray) plan = NULL;
+  if (!j->spec->one_zone)
+    plan = gang_plan(c, j, machines, NULL);
+  for (guint z = 0; !plan && j->spec->one_zone && z < c->settings->zones->len; z++)
+    plan = gang_plan(c, j, machines, c->settings->zones->pdata[z]);
+  if (!plan)
+    return;
+  if (!j->booked) {
+    j->gang_until = fk_time_add(c->now, GANG_LAUNCH_S);
+    j->gang_attempt.n = 1;
+    j->gang_booked = 0;
+    for (guint32 i = 0; i < j->n_chunks; i++)
+      if (j->chunks[i])
+        j->gang_attempt.n = MAX(j->gang_attempt.n, j->chunks[i]->next_attempt);
+  }
+  for (guint i = 0; i < plan->len; i++) {
+    if (!fk_batch_book(c, b, j, plan->pdata[i]))
+      return;
+    j->gang_booked++;
+  }
+}
+
+void fk_place_long(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *machines) {
+  double spare = fk_spare_slots(c, machines, g_hash_table_size(c->view->machines), 1);
+  for (guint i = 0; i < jobs->len && !fk_batch_full(c, b); i++) {
+    FkJob *j = jobs->pdata[i];
+    if (!fk_spec_long(c, j->spec))
+      continue;
+    if (j->spec->shape == FK_SHAPE_GANG) {
+      place_gang(c, b, j, machines);
+      continue;
+    }
+    guint32 waiting = fk_job_waiting(j);
+    while (waiting-- && fk_team_allows(c, j->spec)) {
+      FkMachine *best = fk_best_for_long(c, j, machines, NULL);
+      if (!best || !fk_leaves_reserve(c, best, j->spec, &spare) || !fk_batch_book(c, b, j, best))
+        break;
+    }
+  }
+}
+
+/* ------------------------------------------------------------------ room kept for the long path */
+
+static void keep(FkController *c, GArray *kept, FkMachine *m, const FkSpec *s) {
+  FkPend p = {m ? m->id : NULL, g_intern_string(s->team), s->cpus, s->gpus, s->mem_gb, s->cpus};
+  g_array_append_val(kept, p);
+  if (m)
+    fk_promise(m, s, 1);
+  FkTeamUse *use = fk_view_team(c->view, s->team);
+  if (use->split && s->shape != FK_SHAPE_GANG) {
+    /* it will be paid from the leader's share, not from ours */
+    g_array_index(kept, FkPend, kept->len - 1).cpus_team = 0;
+    return;
+  }
+  use->pend_cpus += s->cpus;
+  use->pend_gpus += s->gpus;
+}
+
+void fk_give_up_kept(FkController *c, GArray *kept) {
+  for (guint i = 0; i < kept->len; i++) {
+    FkPend *p = &g_array_index(kept, FkPend, i);
+    FkMachine *m = p->machine ? fk_view_machine(c->view, p->machine) : NULL;
+    FkTeamUse *use = fk_view_team(c->view, p->team);
+    if (m) {
+      m->pend_cpus -= p->cpus;
+      m->pend_gpus -= p->gpus;
+      m->pend_mem -= p->mem_gb;
+    }
+    use->pend_cpus -= p->cpus_team;
+    use->pend_gpus -= p->cpus_team > 0 ? p->gpus : 0;
+  }
+}
+
+/* The leader places services and gangs from the same view at the same moment: the short path leaves them the
+ * room that they would take, or both would book it and the worker would refuse one ("full"). A gang that must
+ * wait keeps its part of the team's limit too: tasks that come one by one would keep it waiting for ever. */
+void fk_keep_for_long(FkController *c, GPtrArray *jobs, GPtrArray *machines, GArray *kept) {
+  guint budget = 24;
+  for (guint i = 0; i < jobs->len && budget; i++) {
+    FkJob *j = jobs->pdata[i];
+    if (j->spec->shape == FK_SHAPE_ARRAY)
+      continue;
+    for (guint32 k = fk_job_waiting(j); k && budget; k--, budget--) {
+      FkMachine *m = c->leading ? NULL : fk_best_for_long(c, j, machines, NULL);
+      if (m || j->spec->shape == FK_SHAPE_GANG)
+        keep(c, kept, m, j->spec);
+    }
+  }
+}
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -1,18 +1,18 @@
 /* How a team's limit is kept when several controllers launch for it. Shared: every launch changes the team's
- * record and is guarded by it, so that launches go one after another. Split: the record gives each controller a
- * share, launches are only guarded by it, and each controller counts what it launched itself. Both ways the sum
- * of bookings stays within the limit; docs/design.md, "quota". */
+ * record and is guarded by it, so that launches go one after another. Split: the record gives each controller
+ * a share, launches are only guarded by it, and each controller counts what it launched itself. Both ways the
+ * sum of bookings stays within the limit; docs/design.md, "quota". */
 #include "core/internal.h"
 
 #include <string.h>
 
-#define SHARED_S 4.0      /* a team that has just been found short of shares stays shared for so long ... */
+#define SHARED_S 4.0       /* a team that has just been found short of shares stays shared for so long ... */
 #define SHARED_MAX_S 120.0 /* ... and twice as long each time that this comes soon again */
-#define SHARE_TASKS 4     /* a share must have room for so many of the team's largest tasks */
-#define LEADER_WEIGHT 2.0 /* it places services for all */
+#define SHARE_TASKS 4      /* a share must have room for so many of the team's largest tasks */
+#define LEADER_WEIGHT 2.0  /* it places services for all */
 #define SPLIT_MIN_S 1.0
 #define PAUSE_MAX_S 3.0
-#define FREE_MIN 0.2      /* a limit is split only while so much of it is free */
+#define FREE_MIN 0.2 /* a limit is split only while so much of it is free */
 
 static void changed(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
   c->splitting = FALSE;
@@ -20,8 +20,8 @@
     c->split_wait = epoch;
 }
 
-/* Writes the team's record. `guarded` FALSE only for a pause: nobody may launch on it, so it is safe whatever was
- * there before. */
+/* Writes the team's record. `guarded` FALSE only for a pause: nobody may launch on it, so it is safe whatever
+ * was there before. */
 static void change(FkController *c, const char *team, FkTeamUse *use, GHashTable *split /* taken, or NULL */,
                    gboolean guarded) {
   FkOut *t = fk_txn_new(c, FK_PRIO_CLAIM);
@@ -37,7 +37,8 @@
 
 /* Who places the services, and who was short of it last, get more. */
 static double weight(FkController *c, const FkTeamUse *use, const char *node, guint n) {
-  return (g_strcmp0(node, c->view->leader) == 0 ? LEADER_WEIGHT : 1) + (g_strcmp0(use->was_short, node) == 0 ? n : 0);
+  return (g_strcmp0(node, c->view->leader) == 0 ? LEADER_WEIGHT : 1) +
+         (g_strcmp0(use->was_short, node) == 0 ? n : 0);
 }
 
 static GHashTable *shares(FkController *c, const FkTeam *team, const FkTeamUse *use) {
@@ -75,9 +76,9 @@
 
 static gboolean paused(const FkTeamUse *use) { return use->split && !g_hash_table_size(use->split); }
 
-/* Shares change in two steps. A pause gives nobody anything: launches on the revisions before it are void, so that a
- * view of the pause shows exactly what everybody has launched. Then who paused deals out shares, or has the limit
- * shared, guarded by the pause's revision. */
+/* Shares change in two steps. A pause gives nobody anything: launches on the revisions before it are void, so
+ * that a view of the pause shows exactly what everybody has launched. Then who paused deals out shares, or
+ * has the limit shared, guarded by the pause's revision. */
 static void deal_out(FkController *c, const FkTeam *team, FkTeamUse *use) {
   if (room_to_split(c, team, use)) {
     g_info("the limit of %s is split: %.0f of %.0f in use", team->name, use->cpus, team->cpus_max);
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -1,5 +1,5 @@
-/* The machines' descriptions, one page a group: machines join, are marked, and go. Changes gather, and several
- * pages are written by one transaction, so that a hundred machines cost a few puts. */
+/* The machines' descriptions, one page a group: machines join, are marked, and go. Changes gather, and
+ * several pages are written by one transaction, so that a hundred machines cost a few puts. */
 #include "core/internal.h"
 
 #include <string.h>
@@ -9,9 +9,13 @@
 #define BYTES_MAX 48000
 #define WRITE_SHARE 0.4 /* of the store's write budget, all controllers together */
 
+#define UNHURRIED_S 0.15
+
 double fk_pace_s(FkController *c, guint writes, double share) {
-  /* the leader writes for all */
-  return writes * (c->leading ? MIN(1.5, fk_controllers(c)) : fk_controllers(c)) / (share * c->settings->state_write_rps);
+  double pace = writes * (double)fk_controllers(c) / (share * c->settings->state_write_rps);
+  /* while the budget is hardly used there is nothing to save for */
+  gboolean plenty = c->write_room > 0.4 * fk_controller_write_share(c) * c->settings->state_write_rps;
+  return plenty ? MIN(pace, UNHURRIED_S) : pace;
 }
 
 /* A home asks for a machine that reports to it to be written down. */
@@ -110,7 +114,8 @@
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->groups);
-  while (bytes < BYTES_MAX && (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX))) &&
+  while (bytes < BYTES_MAX &&
+         (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX))) &&
          g_hash_table_iter_next(&it, NULL, &p)) {
     FkGroup *g = p;
     if (!g->dirty)
--- /dev/null
+++ b/src/core/short.c
@@ -0,0 +1,143 @@
+/* The short path: batch sampling and late binding, by each controller on its own machines. */
+#include "core/batch.h"
+
+#include <math.h>
+#include <string.h>
+
+#define QUEUE_MAX 24 /* probes a machine */
+
+/* ------------------------------------------------------------------ the short path */
+
+static GQueue *queue_of(FkController *c, FkMachine *m) {
+  GQueue *q = g_hash_table_lookup(c->queues, m->id);
+  if (!q) {
+    q = g_queue_new();
+    g_hash_table_insert(c->queues, (gpointer)m->id, q);
+  }
+  return q;
+}
+
+#define TURN_S 0.5
+
+/* A short job is its owner's first. What the owner has no room for goes round: one other controller at a time
+ * may take its tasks, so that they don't all write the same chunk. */
+static gboolean short_is_ours(FkController *c, const FkJob *j) {
+  const char *owner = j->spec->owner;
+  if (!owner || g_str_equal(owner, c->settings->node))
+    return TRUE;
+  if (fk_alive(c, owner) && fk_time_between(j->seen, c->now) <= c->settings->tuning.steal_after_s)
+    return FALSE;
+  guint before = 0, n = c->settings->peers->len + 1;
+  for (guint i = 0; i < c->settings->peers->len; i++)
+    before += strcmp(((FkPeer *)c->settings->peers->pdata[i])->name, c->settings->node) < 0;
+  guint64 turn = (guint64)((c->now.us + c->view->wall_offset_us) / (gint64)(TURN_S * 1e6));
+  return (g_str_hash(j->spec->id) + turn) % n == before;
+}
+
+static gint find_id(gconstpointer a, gconstpointer b) { return strcmp(a, b); }
+
+/* FkBatch sampling: some of our machines, drawn at random, get a probe of the job in their queues; machines
+ * with room first. */
+static void probe(FkController *c, FkJob *j, GPtrArray *mine) {
+  guint want = (guint)ceil(fk_job_waiting(j) * c->settings->tuning.probe_ratio);
+  guint n = mine->len, tries = MIN(n, 2 * want + 8);
+  for (guint i = 0; i < tries && want; i++) {
+    guint k = (guint)g_rand_int_range(c->rand, (gint)i, (gint)n);
+    gpointer t = mine->pdata[i];
+    mine->pdata[i] = mine->pdata[k];
+    mine->pdata[k] = t;
+    FkMachine *m = mine->pdata[i];
+    if (!fk_job_allows(c, j, m))
+      continue;
+    GQueue *q = queue_of(c, m);
+    if (q->length >= QUEUE_MAX || g_queue_find_custom(q, j->spec->id, find_id)) {
+      want -= q->length < QUEUE_MAX;
+      continue;
+    }
+    g_queue_push_tail(q, g_strdup(j->spec->id));
+    want--;
+  }
+}
+
+/* Late binding: a machine with room takes the tasks in its queue that are still waiting, in the order of
+ * jobs, not of arrival: ranks and deadlines hold inside a queue too. */
+static void bind_queue(FkController *c, FkBatch *b, FkMachine *m, double *spare) {
+  GQueue *q = g_hash_table_lookup(c->queues, m->id);
+  if (!q || g_queue_is_empty(q))
+    return;
+  FkJob *waiting[QUEUE_MAX];
+  guint n = 0;
+  for (GList *l = q->head; l;) {
+    GList *next = l->next;
+    FkJob *j = fk_view_job(c->view, l->data);
+    if (!j || !fk_job_waiting(j) || n >= QUEUE_MAX) {
+      g_free(l->data);
+      g_queue_delete_link(q, l);
+    } else if (j->place && fk_time_reached(c->now, j->retry_at)) {
+      guint at = n++;
+      for (; at && waiting[at - 1]->place > j->place; at--)
+        waiting[at] = waiting[at - 1];
+      waiting[at] = j;
+    }
+    l = next;
+  }
+  for (guint i = 0; i < n && !fk_batch_full(c, b); i++) {
+    FkJob *j = waiting[i];
+    while (short_is_ours(c, j) && fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) &&
+           fk_job_allows(c, j, m) && fk_leaves_reserve(c, m, j->spec, spare) && fk_batch_book(c, b, j, m))
+      ;
+  }
+}
+
+static int by_load(gconstpointer a, gconstpointer b, gpointer data) {
+  const FkMachine *x = *(FkMachine *const *)a, *y = *(FkMachine *const *)b;
+  const FkType *tx = fk_type_of(data, x), *ty = fk_type_of(data, y);
+  /* Spot first: services can't use it. Then what is cheaper to keep, so that the dearest machines run empty
+   * first and go back; then the fuller. */
+  if (x->rec->spot != y->rec->spot)
+    return x->rec->spot ? -1 : 1;
+  double px = tx ? tx->price : 0, py = ty ? ty->price : 0;
+  if (px != py)
+    return px < py ? -1 : 1;
+  return x->cpus > y->cpus ? -1 : x->cpus < y->cpus;
+}
+
+/* The smallest that waits: a machine with less room than this isn't worth a look. */
+static gboolean least_wanted(GPtrArray *jobs, gboolean arrays, double *cpus, double *mem) {
+  gboolean any = FALSE;
+  for (guint i = 0; i < jobs->len; i++) {
+    const FkSpec *s = ((FkJob *)jobs->pdata[i])->spec;
+    if (arrays != (s->shape == FK_SHAPE_ARRAY))
+      continue;
+    *cpus = any ? MIN(*cpus, s->cpus) : s->cpus;
+    *mem = any ? MIN(*mem, s->mem_gb) : s->mem_gb;
+    any = TRUE;
+  }
+  return any;
+}
+
+#define PROBE_EVERY_S 1.0 /* a job that waits gets further probes, on full machines too */
+
+void fk_place_short(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *mine) {
+  double cpus = 0, mem = 0;
+  if (!least_wanted(jobs, TRUE, &cpus, &mem))
+    return;
+  g_autoptr(GPtrArray) open = g_ptr_array_new();
+  for (guint i = 0; i < mine->len; i++)
+    if (fk_has_room(c, mine->pdata[i], cpus, mem))
+      g_ptr_array_add(open, mine->pdata[i]);
+  for (guint i = 0; i < jobs->len; i++) {
+    FkJob *j = jobs->pdata[i];
+    if (fk_spec_long(c, j->spec) || !short_is_ours(c, j))
+      continue;
+    probe(c, j, open);
+    if (fk_time_between(j->probed, c->now) > PROBE_EVERY_S) {
+      probe(c, j, mine);
+      j->probed = c->now;
+    }
+  }
+  g_ptr_array_sort_with_data(open, by_load, c);
+  double spare = fk_spare_slots(c, open, mine->len, 1.0 / fk_controllers(c));
+  for (guint i = 0; i < open->len && !fk_batch_full(c, b); i++)
+    bind_queue(c, b, open->pdata[i], &spare);
+}
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -80,9 +80,9 @@
   FkKeyKind kind;
   const char *prefix;
 } key_prefixes[] = {
-    {FK_KEY_JOB, FK_LIVE "j/"},   {FK_KEY_CHUNK, FK_LIVE "t/"}, {FK_KEY_GROUP, FK_LIVE "g/"},
-    {FK_KEY_PAGE, FK_LIVE "m/"},  {FK_KEY_NODE, FK_LIVE "n/"},  {FK_KEY_TEAM, FK_LIVE "q/"},
-    {FK_KEY_ENDS, FK_LIVE "r/"},  {FK_KEY_FENCE, FK_LIVE "f/"}, {FK_KEY_WAITS, FK_LIVE "w/"},
+    {FK_KEY_JOB, FK_LIVE "j/"},   {FK_KEY_CHUNK, FK_LIVE "t/"},      {FK_KEY_GROUP, FK_LIVE "g/"},
+    {FK_KEY_PAGE, FK_LIVE "m/"},  {FK_KEY_NODE, FK_LIVE "n/"},       {FK_KEY_TEAM, FK_LIVE "q/"},
+    {FK_KEY_ENDS, FK_LIVE "r/"},  {FK_KEY_FENCE, FK_LIVE "f/"},      {FK_KEY_WAITS, FK_LIVE "w/"},
     {FK_KEY_FINAL, FK_ROOT "d/"}, {FK_KEY_LEADER, FK_LIVE "leader"},
 };
 
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -49,18 +49,18 @@
 /* What goes under one key. Which members count depends on `kind`. */
 typedef struct {
   FkKeyKind kind;
-  FkSpec *spec;          /* JOB */
-  gboolean cancelled;    /* JOB */
-  FkChunk *chunk;        /* CHUNK */
-  GPtrArray *members;    /* PAGE: FkMachineRec */
-  GPtrArray *ends;       /* ENDS: FkEnds */
-  GHashTable *split;     /* TEAM: controller -> double* CPUs, or NULL: the limit is shared */
-  char *node, *life;     /* NODE, LEADER, GROUP: the home */
-  FkPhase phase;         /* FINAL */
-  guint32 tasks;         /* FINAL */
-  guint64 window;        /* WAITS */
-  double sum_s;          /* WAITS */
-  guint64 count;         /* WAITS, TEAM: bookings */
+  FkSpec *spec;       /* JOB */
+  gboolean cancelled; /* JOB */
+  FkChunk *chunk;     /* CHUNK */
+  GPtrArray *members; /* PAGE: FkMachineRec */
+  GPtrArray *ends;    /* ENDS: FkEnds */
+  GHashTable *split;  /* TEAM: controller -> double* CPUs, or NULL: the limit is shared */
+  char *node, *life;  /* NODE, LEADER, GROUP: the home */
+  FkPhase phase;      /* FINAL */
+  guint32 tasks;      /* FINAL */
+  guint64 window;     /* WAITS */
+  double sum_s;       /* WAITS */
+  guint64 count;      /* WAITS, TEAM: bookings */
 } FkRecord;
 
 FkRecord *fk_record_new(FkKeyKind kind);
@@ -103,9 +103,9 @@
   gboolean below;         /* its team uses less than its guarantee */
   guint place;            /* in the queue, from 1; 0: never yet */
   FkTime probed;
-  double latest_s;        /* how far off its latest useful start is; sorts the queue */
-  FkTime gang_until;      /* a gang's launch may go on in further transactions until then */
-  gint64 submitted_us;    /* on the steady clock, by the time of day */
+  double latest_s;     /* how far off its latest useful start is; sorts the queue */
+  FkTime gang_until;   /* a gang's launch may go on in further transactions until then */
+  gint64 submitted_us; /* on the steady clock, by the time of day */
 } FkJob;
 
 typedef struct {
@@ -127,21 +127,21 @@
   GPtrArray *machines; /* FkMachine: those described in the page, and others heard of */
   FkTime claim_after, lost_until;
   gboolean was_mine;
-  gboolean wanted;      /* to be claimed: its workers can't reach their home, or a start must be made void */
-  gboolean dirty;       /* its page is to be written */
-  GHashTable *back;     /* machines that came back from their home lately -> FkTime* */
+  gboolean wanted;  /* to be claimed: its workers can't reach their home, or a start must be made void */
+  gboolean dirty;   /* its page is to be written */
+  GHashTable *back; /* machines that came back from their home lately -> FkTime* */
 } FkGroup;
 
 typedef struct {
-  const char *id;    /* interned */
-  FkMachineRec *rec; /* NULL: not described in its group's page */
-  FkGroup *group;    /* NULL: its zone isn't known */
-  FkRev page_rev;    /* the latest page that had it */
-  FkMachineRec *joining;    /* what is to be written of it */
-  const char *want_mark;    /* interned: the mark to be written, or NULL: as it is */
+  const char *id;        /* interned */
+  FkMachineRec *rec;     /* NULL: not described in its group's page */
+  FkGroup *group;        /* NULL: its zone isn't known */
+  FkRev page_rev;        /* the latest page that had it */
+  FkMachineRec *joining; /* what is to be written of it */
+  const char *want_mark; /* interned: the mark to be written, or NULL: as it is */
   double want_notice_s;
   gboolean want_clear, want_gone;
-  struct FkType *type; /* cached */
+  struct FkType *type;                   /* cached */
   GArray *books;                         /* FkBookRef */
   double cpus, gpus, mem_gb;             /* booked */
   double pend_cpus, pend_gpus, pend_mem; /* in transactions under way */
@@ -166,7 +166,7 @@
   FkRev rev;
   double cpus, gpus; /* booked by the team's tasks */
   double pend_cpus, pend_gpus;
-  gboolean starved;  /* our share is too small, though the team has room */
+  gboolean starved; /* our share is too small, though the team has room */
   FkTime shared_since, changed;
   char *was_short; /* the controller that ran out of its share last, or NULL */
   double shared_s;
@@ -184,16 +184,16 @@
 struct FkView {
   const FkSettings *settings;
   FkRev applied;
-  GHashTable *jobs;     /* id -> FkJob */
-  GHashTable *machines; /* id -> FkMachine */
-  GHashTable *groups;   /* id -> FkGroup */
-  GHashTable *end_pages;   /* "node/n" -> FkEndPage */
-  GHashTable *ends;        /* "job/index" -> GPtrArray of FkEnds, the pages' */
-  GHashTable *fences;      /* node -> FkRev* */
-  GHashTable *nodes;    /* name -> FkNode */
-  GHashTable *teams;    /* name -> FkTeamUse */
-  GHashTable *waits;    /* node -> FkWaits */
-  GHashTable *finals;   /* id -> FkPhase+1 */
+  GHashTable *jobs;      /* id -> FkJob */
+  GHashTable *machines;  /* id -> FkMachine */
+  GHashTable *groups;    /* id -> FkGroup */
+  GHashTable *end_pages; /* "node/n" -> FkEndPage */
+  GHashTable *ends;      /* "job/index" -> GPtrArray of FkEnds, the pages' */
+  GHashTable *fences;    /* node -> FkRev* */
+  GHashTable *nodes;     /* name -> FkNode */
+  GHashTable *teams;     /* name -> FkTeamUse */
+  GHashTable *waits;     /* node -> FkWaits */
+  GHashTable *finals;    /* id -> FkPhase+1 */
   GHashTable *final_tasks;
   GQueue *final_order;
   GHashTable *corrections; /* class -> double*: how long tasks really take, by their estimate */
@@ -201,9 +201,9 @@
   double service_rate;     /* services seen a second, smoothed */
   guint services_seen;     /* since the rate was worked out last */
   FkTime service_rated;
-  double took_s;           /* of arrays' tasks done in this window: from booking to end, summed */
+  double took_s; /* of arrays' tasks done in this window: from booking to end, summed */
   guint took_count;
-  GHashTable *orphans;     /* paths of chunks without a job -> FkRev* */
+  GHashTable *orphans; /* paths of chunks without a job -> FkRev* */
   char *leader, *leader_life;
   FkRev leader_rev;
   GHashTable *touched;   /* machines whose bookings changed since the last look */
--- a/src/io/budget.c
+++ b/src/io/budget.c
@@ -17,8 +17,8 @@
   gpointer data;
 };
 
-FkBudget *fk_budget_new(double rate, double write_rate, double burst_s, guint levels, guint urgent, guint max_queue,
-                        FkBudgetSend send, FkBudgetSend shed, gpointer data) {
+FkBudget *fk_budget_new(double rate, double write_rate, double burst_s, guint levels, guint urgent,
+                        guint max_queue, FkBudgetSend send, FkBudgetSend shed, gpointer data) {
   FkBudget *b = g_new0(FkBudget, 1);
   *b = (FkBudget){rate,
                   write_rate,
@@ -61,13 +61,13 @@
   b->write_tokens = MIN(b->write_rate * b->burst_s, b->write_tokens + s * b->write_rate);
 }
 
-/* The first levels (holds, users) may draw on what comes in the next second: nobody who waits should wait for work in
- * the background. */
+/* The first levels (holds, users) may draw on what comes in the next second: nobody who waits should wait for
+ * work in the background. */
 static gboolean may(FkBudget *b, guint level, guint writes) {
   if (level < b->urgent)
     return b->tokens >= -b->rate && (!writes || b->write_tokens >= -b->write_rate);
-  /* What is large runs the budget into debt rather than wait for a full one: small ones going first would keep it
-   * waiting for ever. */
+  /* What is large runs the budget into debt rather than wait for a full one: small ones going first would
+   * keep it waiting for ever. */
   return b->tokens >= 1 && (!writes || b->write_tokens >= MIN((double)writes, ENOUGH));
 }
 
--- a/src/io/budget.h
+++ b/src/io/budget.h
@@ -6,9 +6,10 @@
 typedef struct FkBudget FkBudget;
 typedef void (*FkBudgetSend)(gpointer data, gpointer item);
 
-/* `rate` and `write_rate` a second, with bursts of `burst_s` seconds. The first `urgent` levels may run it into debt. */
-FkBudget *fk_budget_new(double rate, double write_rate, double burst_s, guint levels, guint urgent, guint max_queue,
-                        FkBudgetSend send, FkBudgetSend shed, gpointer data);
+/* `rate` and `write_rate` a second, with bursts of `burst_s` seconds. The first `urgent` levels may run it
+ * into debt. */
+FkBudget *fk_budget_new(double rate, double write_rate, double burst_s, guint levels, guint urgent,
+                        guint max_queue, FkBudgetSend send, FkBudgetSend shed, gpointer data);
 void fk_budget_free(FkBudget *b);
 void fk_budget_add(FkBudget *b, guint level, guint writes, gpointer item);
 /* What this controller's share is now. */
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -12,9 +12,9 @@
 #define TICK_MS 100
 #define STORE_DEADLINE_S 2.0
 #define BODY_MAX 65536
-#define AGAIN_MAX 6      /* times that a request over the store's budget is sent again */
-#define LEND 1.2         /* a controller may use somewhat more than its share: not all need theirs at once ... */
-#define LEND_WRITES 0.9  /* ... but what users wait for must find room */
+#define AGAIN_MAX 6 /* times that a request over the store's budget is sent again */
+#define LEND 1.2    /* a controller may use somewhat more than its share: not all need theirs at once ... */
+#define LEND_WRITES 0.9 /* ... but what users wait for must find room */
 
 struct FkShell {
   const FkSettings *settings;
@@ -50,7 +50,8 @@
     return; /* whoever asked has gone */
   respond(msg, (guint)o->status, o->kind == FK_OUT_REPLY ? fk_worker_print_reply(o) : fk_user_print_answer(o),
           o->retry_s);
-  /* Workers come seldom, and are many: their connections would only make every turn of the main loop longer. */
+  /* Workers come seldom, and are many: their connections would only make every turn of the main loop longer.
+   */
   if (o->kind == FK_OUT_REPLY)
     soup_message_headers_replace(soup_server_message_get_response_headers(msg), "Connection", "close");
   soup_server_message_unpause(msg);
@@ -519,9 +520,8 @@
   s->store = fk_http_new(32, 32, 60);
   s->workers = fk_http_new(400, 2, 3);
   s->cloud = fk_http_new(4, 4, 60);
-  s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8, FK_PRIO_RESULT + 1,
-                                  FK_PRIO_USER + 1, 2000,
-                                  store_send, store_shed, s);
+  s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8,
+                                  FK_PRIO_RESULT + 1, FK_PRIO_USER + 1, 2000, store_send, store_shed, s);
   s->cloud_budget = fk_budget_new(settings->cloud_rps * 0.7, 1, 1.0, 2, 0, 50, cloud_send, cloud_shed, s);
   s->server = soup_server_new("server-header", "flaxknot", NULL);
   soup_server_add_early_handler(s->server, NULL, on_early, s, NULL);
--- a/src/main.c
+++ b/src/main.c
@@ -11,8 +11,8 @@
 
 #define GATHER_US 4000
 
-/* A turn of the main loop looks at every open connection, hundreds of them. A short pause before each wait lets what
- * comes in the meantime share one turn. */
+/* A turn of the main loop looks at every open connection, hundreds of them. A short pause before each wait
+ * lets what comes in the meantime share one turn. */
 static gint gather_then_poll(GPollFD *fds, guint n, gint timeout) {
   if (timeout != 0)
     g_usleep(timeout > 0 ? MIN(GATHER_US, timeout * 1000) : GATHER_US);
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -115,8 +115,9 @@
     return NULL;
   g_autoptr(GPtrArray) members = g_ptr_array_new_with_free_func(fk_machine_rec_free);
   cJSON_ArrayForEach(e, list) {
-    const cJSON *id = cJSON_GetArrayItem(e, 0), *type = id ? id->next : NULL, *addr = type ? type->next : NULL,
-                *spot = addr ? addr->next : NULL, *mark = spot ? spot->next : NULL;
+    const cJSON *id = cJSON_GetArrayItem(e, 0), *type = id ? id->next : NULL,
+                *addr = type ? type->next : NULL, *spot = addr ? addr->next : NULL,
+                *mark = spot ? spot->next : NULL;
     if (!cJSON_IsString(id) || !cJSON_IsString(type) || !cJSON_IsString(addr) || !cJSON_IsNumber(spot))
       return NULL;
     FkMachineRec *m = g_new0(FkMachineRec, 1);
@@ -241,8 +242,12 @@
         !fk_json_item_u64(cJSON_GetArrayItem(e, 1), &attempt) || !machine || task < first ||
         task >= first + count)
       return NULL;
-    FkBooking b = {(guint32)task,       {attempt}, g_intern_string(machine),
-                   g_intern_string(by), cJSON_GetArrayItem(e, 4) != NULL, {0}};
+    FkBooking b = {(guint32)task,
+                   {attempt},
+                   g_intern_string(machine),
+                   g_intern_string(by),
+                   cJSON_GetArrayItem(e, 4) != NULL,
+                   {0}};
     g_array_append_val(c->bookings, b);
   }
   return g_steal_pointer(&c);
--- a/test/sim.h
+++ b/test/sim.h
@@ -24,7 +24,7 @@
   guint submitted, accepted, done, cancelled, started, finished;
   guint unfinished;
   guint requests, writes, refused; /* at the store */
-  char *broken; /* the first broken rule, or NULL */
+  char *broken;                    /* the first broken rule, or NULL */
 } SimResult;
 
 SimResult sim_run(const FkSettings *s, const SimPlan *plan);
