Estimates learn only from tasks seen from their start; launches before finals; why nothing is launched is logged

Cause: a restarted controller took running tasks for 5 s long; after all controllers had crashed, the ends of jobs took the whole write budget, and half the machines stood empty for 30 s.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -95,7 +95,7 @@
 /* What is built goes out at once: a launch that waits for its turn in the budget is out of date by then. So
  * no more chunks are opened than there are writes free; further tasks of those that are open cost nothing. */
 static gboolean batch_no_more_chunks(FkController *c, const FkBatch *b) {
-  return b->txn && b->txn->writes->len + 2 > MIN(c->settings->txn_ops, MAX(FK_LAUNCH_MIN, c->write_room));
+  return b->txn && b->txn->writes->len + 2 > MIN(c->settings->txn_ops, MAX(FK_LAUNCH_LEAST, c->write_room));
 }
 
 gboolean fk_batch_full(FkController *c, const FkBatch *b) {
--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -85,6 +85,8 @@
 
 static void claimed(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
   c->claiming = FALSE;
+  if (o != FK_OK)
+    g_info("groups not claimed: outcome %d", o);
   if (o == FK_OK || o == FK_CONFLICT)
     c->claims_wait = epoch;
   else
@@ -118,6 +120,7 @@
     c->take_back_after = fk_time_add(c->now, BACK_PAUSE_S);
   if (!t)
     return;
+  g_info("claiming %u groups, %u of them from the living", t->writes->len, taken_back);
   c->claiming = TRUE;
   fk_txn_send(c, t, claimed, NULL, NULL);
 }
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -319,6 +319,7 @@
 
 static void became_ready(FkController *c) {
   c->sync = FK_SYNC_READY;
+  c->view->live = TRUE;
   c->ready_since = c->now;
   g_info("view ready at revision %" G_GUINT64_FORMAT ": %u jobs, %u machines", c->view->applied.n,
          g_hash_table_size(c->view->jobs), g_hash_table_size(c->view->machines));
@@ -817,6 +818,7 @@
   c->peer_proof = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->held = g_queue_new();
   c->fence_needed = TRUE;
+  c->hindrances = g_hash_table_new(g_direct_hash, g_direct_equal);
   c->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, fk_ending_free);
   c->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, redirect_free);
   c->commands = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -849,6 +851,7 @@
   g_hash_table_unref(c->peer_proof);
   g_hash_table_unref(c->redirects);
   g_hash_table_unref(c->ended);
+  g_hash_table_unref(c->hindrances);
   g_hash_table_unref(c->commands);
   g_array_unref(c->pending);
   g_hash_table_unref(c->queues);
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -7,8 +7,7 @@
 
 #define WRITE_SHARE 0.1 /* of the store's write budget, all controllers together */
 #define PAGES_MAX 64
-#define FINALS_MIN 7 /* writes */
-#define FULL 0.5     /* of a value's limit: the next page's turn */
+#define FULL 0.5 /* of a value's limit: the next page's turn */
 
 struct FkEnding {
   const char *machine; /* interned */
@@ -148,7 +147,7 @@
     FkJob *j = job;
     guint ended = GPOINTER_TO_UINT(n) & 0xfffff, done = GPOINTER_TO_UINT(n) >> 20;
     /* a large transaction finds no room in a busy store's budget; the sweep takes what is left here */
-    guint max = (guint)CLAMP(c->write_room, FINALS_MIN, c->settings->txn_ops);
+    guint max = (guint)CLAMP(c->write_room, 1, c->settings->txn_ops);
     guint left = max > t->writes->len ? max - t->writes->len : 0;
     if (j->booked == ended && (j->cancelled || j->done + done == j->spec->tasks) && left >= 2 + j->n_chunks &&
         t->guards->len + 1 < 4 * c->settings->txn_ops)
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -90,6 +90,7 @@
 
   /* users */
   GQueue *verify;                                    /* waiting FkAsk */
+  GHashTable *hindrances;                            /* why nothing was launched -> looks, in this window */
   guint launches, launch_conflicts, launch_failures; /* in this window */
   gboolean verifying;
   FkTime verify_after;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -80,7 +80,7 @@
   /* One booking a task, ever: this is what keeps a task from running twice. */
   if (!in_range(c, task) || c->done[task - c->first] || fk_chunk_find(c, task))
     return FALSE;
-  FkBooking b = {task, attempt, g_intern_string(machine), g_intern_string(by), FALSE, {0}};
+  FkBooking b = {task, attempt, g_intern_string(machine), g_intern_string(by), FALSE, {0}, FALSE};
   g_array_append_val(c->bookings, b);
   c->next_attempt = MAX(c->next_attempt, attempt.n + 1);
   return TRUE;
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -43,6 +43,7 @@
   const char *by;      /* interned: the controller that launched it; its share of the team's limit pays */
   gboolean stop;       /* a controller decided that the task must leave */
   FkTime since;        /* when this controller first saw it; not in the store */
+  gboolean from_start; /* `since` is when it was made, not when we came to know of it */
 } FkBooking;
 
 /* The state of up to `chunk` neighbouring tasks, one store record. */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -141,6 +141,14 @@
     fk_txn_put(t, fk_key(FK_KEY_WAITS, c->settings->node), r, c->hold);
     fk_txn_send(c, t, waits_put, NULL, NULL);
   }
+  g_autoptr(GString) why = g_string_new(NULL);
+  GHashTableIter it;
+  gpointer reason, looks;
+  g_hash_table_iter_init(&it, c->hindrances);
+  while (g_hash_table_iter_next(&it, &reason, &looks))
+    g_string_append_printf(why, "; %s: %u", (char *)reason, GPOINTER_TO_UINT(looks));
+  g_info("looks without a launch%s", why->str);
+  g_hash_table_remove_all(c->hindrances);
   g_info("launches %u, refused %u, failed %u; to write down: %u ends", c->launches, c->launch_conflicts,
          c->launch_failures, g_hash_table_size(c->ended));
   c->launches = c->launch_conflicts = c->launch_failures = 0;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -160,16 +160,30 @@
   return mine;
 }
 
+/* Why nothing can be launched now, or NULL. */
+static const char *hindrance(FkController *c) {
+  if (!fk_ready(c) || !g_hash_table_size(c->types))
+    return "not ready";
+  if (c->launching || c->fencing)
+    return "a launch is under way";
+  if (c->view->applied.n < c->launch_wait.n)
+    return "the view is behind";
+  if (!fk_time_reached(c->now, c->launch_after))
+    return "pace";
+  return !c->fence_needed && c->write_room < FK_LAUNCH_MIN ? "the store's budget" : NULL;
+}
+
 void fk_place(FkController *c) {
-  if (!fk_ready(c) || c->launching || c->fencing || c->view->applied.n < c->launch_wait.n ||
-      !fk_time_reached(c->now, c->launch_after) || !g_hash_table_size(c->types))
+  const char *why = hindrance(c);
+  if (why) {
+    guint n = GPOINTER_TO_UINT(g_hash_table_lookup(c->hindrances, why));
+    g_hash_table_insert(c->hindrances, (gpointer)why, GUINT_TO_POINTER(n + 1));
     return;
+  }
   if (c->fence_needed) {
     fence(c);
     return;
   }
-  if (c->write_room < FK_LAUNCH_MIN)
-    return;
   fk_pending_clear(c);
   g_autoptr(GPtrArray) jobs = waiting_jobs(c);
   if (!jobs->len)
@@ -186,8 +200,12 @@
   fk_keep_for_long(c, jobs, all, kept);
   fk_place_short(c, &b, jobs, mine);
   fk_give_up_kept(c, kept);
-  if (!b.txn)
+  if (!b.txn) {
+    const char *none = jobs->len ? mine->len ? "no room, or not allowed" : "no machine" : "no job";
+    g_hash_table_insert(c->hindrances, (gpointer)none,
+                        GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(c->hindrances, none)) + 1));
     return;
+  }
   LaunchCall *call = g_new0(LaunchCall, 1);
   *call = (LaunchCall){b.wait_sum, b.wait_count, b.txn->writes->len};
   c->launching = TRUE;
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -213,6 +213,7 @@
   g_clear_pointer(&v->leader_life, g_free);
   v->leader_rev.n = 0;
   v->applied.n = 0;
+  v->live = FALSE;
 }
 
 void fk_view_free(FkView *v) {
@@ -410,11 +411,13 @@
   for (guint i = 0; i < c->bookings->len; i++) {
     FkBooking *b = &g_array_index(c->bookings, FkBooking, i);
     FkBooking *was = old ? fk_chunk_find(old, b->task) : NULL;
-    b->since = was && was->attempt.n == b->attempt.n ? was->since : v->now;
+    gboolean same = was && was->attempt.n == b->attempt.n;
+    b->since = same ? was->since : v->now;
+    b->from_start = same ? was->from_start : v->live;
   }
   for (guint i = 0; old && i < old->bookings->len; i++) {
     const FkBooking *b = &g_array_index(old->bookings, FkBooking, i);
-    if (c->done[b->task - c->first] && !old->done[b->task - c->first])
+    if (b->from_start && c->done[b->task - c->first] && !old->done[b->task - c->first])
       learn(v, j->spec, fk_time_between(b->since, v->now));
   }
 }
@@ -518,8 +521,11 @@
   for (guint32 i = 0; i < j->n_chunks; i++)
     if (j->chunks[i]) {
       /* the last results of a small job end it in the same transaction */
-      for (guint k = 0; !j->cancelled && k < j->chunks[i]->bookings->len; k++)
-        learn(v, j->spec, fk_time_between(g_array_index(j->chunks[i]->bookings, FkBooking, k).since, v->now));
+      for (guint k = 0; !j->cancelled && k < j->chunks[i]->bookings->len; k++) {
+        const FkBooking *b = &g_array_index(j->chunks[i]->bookings, FkBooking, k);
+        if (b->from_start)
+          learn(v, j->spec, fk_time_between(b->since, v->now));
+      }
       chunk_count(v, j, j->chunks[i], -1);
       char *path = fk_key_chunk(id, i);
       g_hash_table_replace(v->orphans, path, g_memdup2(&j->bases[i]->rev, sizeof(FkRev)));
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -207,6 +207,7 @@
   char *leader, *leader_life;
   FkRev leader_rev;
   GHashTable *touched;   /* machines whose bookings changed since the last look */
+  gboolean live;         /* what comes now has just happened: the past has been read */
   FkTime now;            /* set by the owner before applying */
   gint64 wall_offset_us; /* steady = time of day - offset */
 };
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -14,7 +14,7 @@
 #define BODY_MAX 65536
 #define AGAIN_MAX 6 /* times that a request over the store's budget is sent again */
 #define LEND 1.2    /* a controller may use somewhat more than its share: not all need theirs at once ... */
-#define LEND_WRITES 0.9 /* ... but what users wait for must find room */
+#define LEND_WRITES 1.0 /* ... but what users wait for must find room */
 
 struct FkShell {
   const FkSettings *settings;
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -247,7 +247,8 @@
                    g_intern_string(machine),
                    g_intern_string(by),
                    cJSON_GetArrayItem(e, 4) != NULL,
-                   {0}};
+                   {0},
+                   FALSE};
     g_array_append_val(c->bookings, b);
   }
   return g_steal_pointer(&c);
