Short tasks up to 240 s by default; a home that restarts keeps its groups, and takes them back

Cause: the leader alone placed half of all tasks, and was the bottleneck after a crash of all; one controller's groups were taken by the others while it restarted, and kept for a minute.

--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -63,7 +63,10 @@
 
 static gboolean to_claim(FkController *c, FkGroup *g, guint *taken_back) {
   gboolean mine = fk_group_mine(c, g);
-  if (g->was_mine && !mine && g->home && !g_str_equal(g->home, c->settings->node) && fk_alive(c, g->home))
+  /* lost while we were well: the workers can't reach us. Lost just after a start, it was only taken in the
+   * meantime. */
+  if (g->was_mine && !mine && g->home && !g_str_equal(g->home, c->settings->node) && fk_alive(c, g->home) &&
+      fk_time_between(c->ready_since, c->now) > SETTLED_S)
     g->lost_until = fk_time_add(c->now, LOST_S);
   g->was_mine = mine;
   if (!fk_time_reached(c->now, g->claim_after))
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -344,6 +344,12 @@
     g->wanted = TRUE;
 }
 
+/* The group's home is in another life than the one that claimed it: it will claim it again by itself. */
+static gboolean restarting(FkController *c, const FkGroup *g) {
+  FkNode *n = g->home ? g_hash_table_lookup(c->view->nodes, g->home) : NULL;
+  return n && g_strcmp0(n->life, g->life) != 0;
+}
+
 /* `seen`: the claim's revision when the report first came, or NULL if it comes only now. */
 static void handle_report(FkController *c, FkRequest r, FkReport *report /* taken */, FkTime since,
                           const FkRev *seen) {
@@ -362,7 +368,7 @@
     if (!g_str_equal(to, c->settings->node)) {
       /* It belongs to another. If it comes back soon after having been sent there, it can't reach that one.
        */
-      if (!seen && sent_there)
+      if (!seen && sent_there && !restarting(c, g))
         came_back(c, g, report->machine);
       if (!g->wanted && !(seen && fk_rev_eq(*seen, g->rev))) {
         redirect(c, r, report->machine, to);
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -30,7 +30,7 @@
   s->tuning = (FkTuning){.window_s = 10,
                          .max_wait_s = 20,
                          .span = 0.08,
-                         .cutoff_s = 90,
+                         .cutoff_s = 240,
                          .probe_ratio = 2,
                          .steal_after_s = 0.3,
                          .idle_s = 12,
