A full queue of probes keeps the jobs that come first in the order

Cause: with 200 jobs waiting a machine's 24 probes were those of whatever came early, so the short path served neither the soonest complete nor the most urgent first.

--- a/src/core/short.c
+++ b/src/core/short.c
@@ -34,9 +34,29 @@
   return (g_str_hash(j->spec->id) + turn) % n == before;
 }
 
+/* A full queue keeps the jobs that come first in the order: without this, a crowd of jobs that came early
+ * would shut out all later ones, however short or urgent. */
+static gboolean make_way(FkController *c, GQueue *q, const FkJob *j) {
+  GList *last = NULL;
+  guint last_place = j->place;
+  for (GList *l = q->head; l; l = l->next) {
+    const FkJob *other = fk_view_job(c->view, l->data);
+    guint place = other && fk_job_waiting(other) ? other->place : G_MAXUINT;
+    if (place > last_place) {
+      last = l;
+      last_place = place;
+    }
+  }
+  if (!last)
+    return FALSE;
+  g_free(last->data);
+  g_queue_delete_link(q, last);
+  return TRUE;
+}
+
 static gint find_id(gconstpointer a, gconstpointer b) { return strcmp(a, b); }
 
-/* FkBatch sampling: some of our machines, drawn at random, get a probe of the job in their queues; machines
+/* Batch sampling: some of our machines, drawn at random, get a probe of the job in their queues; machines
  * with room first. */
 static void probe(FkController *c, FkJob *j, GPtrArray *mine) {
   guint want = (guint)ceil(fk_job_waiting(j) * c->settings->tuning.probe_ratio);
@@ -50,10 +70,12 @@
     if (!fk_job_allows(c, j, m))
       continue;
     GQueue *q = queue_of(c, m);
-    if (q->length >= QUEUE_MAX || g_queue_find_custom(q, j->spec->id, find_id)) {
-      want -= q->length < QUEUE_MAX;
+    if (g_queue_find_custom(q, j->spec->id, find_id)) {
+      want--;
       continue;
     }
+    if (q->length >= QUEUE_MAX && !make_way(c, q, j))
+      continue;
     g_queue_push_tail(q, g_strdup(j->spec->id));
     want--;
   }
