Processor time by purpose, turns, lateness, heap and tables are logged once a window

Cause: nothing told where a controller's processor time goes. Thread clock by purpose, innermost first; the longest turn, sockets watched, lateness of the timer (GSL histogram), heap (mallinfo2), tables.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -98,6 +98,8 @@
 
 FkView *fk_controller_view(FkController *c) { return c->view; }
 
+FkMeter *fk_controller_meter(FkController *c) { return &c->meter; }
+
 gboolean fk_ready(FkController *c) { return c->sync == FK_SYNC_READY; }
 
 gboolean fk_alive(FkController *c, const char *node) {
@@ -279,11 +281,13 @@
 }
 
 static void apply_events(FkController *c, GPtrArray *events) {
+  FkCost before = fk_meter_enter(&c->meter, FK_COST_APPLY);
   c->view->now = c->now;
   for (guint i = 0; i < events->len; i++) {
     FkEvent *e = events->pdata[i];
     fk_view_apply(c->view, e->path, g_steal_pointer(&e->record), e->rev);
   }
+  fk_meter_leave(&c->meter, before);
 }
 
 void fk_controller_listed(FkController *c, FkTime now, FkOutcome o, GPtrArray *events, gboolean more,
@@ -317,6 +321,13 @@
   watch_next(c, 0);
 }
 
+/* Does it with its processor time charged to that purpose. */
+static void metered(FkController *c, FkCost what, void (*fn)(FkController *)) {
+  FkCost before = fk_meter_enter(&c->meter, what);
+  fn(c);
+  fk_meter_leave(&c->meter, before);
+}
+
 static void became_ready(FkController *c) {
   c->sync = FK_SYNC_READY;
   c->view->live = TRUE;
@@ -354,11 +365,11 @@
    * small. */
   watch_next(c, events->len ? MAX(0.02, fk_controllers(c) / (WATCH_SHARE * c->settings->state_rps)) : 0);
   if (fk_ready(c)) {
-    fk_claims_tick(c);
-    fk_homes_view_changed(c);
-    fk_ends_tick(c);
-    fk_place(c);
-    fk_leader_act(c);
+    metered(c, FK_COST_CLAIMS, fk_claims_tick);
+    metered(c, FK_COST_HOMES, fk_homes_view_changed);
+    metered(c, FK_COST_HOMES, fk_ends_tick);
+    metered(c, FK_COST_LAUNCHES, fk_place);
+    metered(c, FK_COST_STOPS, fk_leader_act);
   }
 }
 
@@ -913,16 +924,16 @@
   }
   if (!fk_ready(c))
     return;
-  verify_next(c);
+  metered(c, FK_COST_USERS, verify_next);
   peers_tick(c);
   c->view->now = now;
   fk_view_rate_services(c->view);
-  fk_claims_tick(c);
-  fk_homes_tick(c);
-  fk_ends_tick(c);
-  fk_windows_tick(c);
-  fk_leader_tick(c);
-  fk_roster_tick(c);
-  fk_quota_tick(c);
-  fk_place(c);
+  metered(c, FK_COST_CLAIMS, fk_claims_tick);
+  metered(c, FK_COST_HOMES, fk_homes_tick);
+  metered(c, FK_COST_HOMES, fk_ends_tick);
+  metered(c, FK_COST_CLAIMS, fk_windows_tick);
+  metered(c, FK_COST_STOPS, fk_leader_tick);
+  metered(c, FK_COST_CLAIMS, fk_roster_tick);
+  metered(c, FK_COST_CLAIMS, fk_quota_tick);
+  metered(c, FK_COST_LAUNCHES, fk_place);
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -1,6 +1,7 @@
 /* The core: takes inputs, and returns what to send, write and answer. It has no input or output of its own:
  * time and randomness come in as arguments, and everything to do goes into a queue that the shell drains. */
 #pragma once
+#include "core/meter.h"
 #include "core/view.h"
 
 typedef struct FkController FkController;
@@ -137,6 +138,7 @@
 FkOut *fk_controller_next(FkController *c); /* NULL: nothing more to do */
 gboolean fk_controller_up(FkController *c, FkTime now);
 FkView *fk_controller_view(FkController *c);
+FkMeter *fk_controller_meter(FkController *c);
 /* This controller's part of the store's request and write budgets. */
 double fk_controller_share(FkController *c);
 double fk_controller_write_share(FkController *c);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -61,6 +61,7 @@
   GRand *rand;
   FkTime now;
   FkView *view;
+  FkMeter meter;
   GQueue *outs;
   guint64 next_call;
   GHashTable *commits; /* call -> callback */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -123,6 +123,42 @@
   v->took_count = 0;
 }
 
+/* Where the window's processor time went: milliseconds, and how many times, by purpose. */
+static void log_cost(FkController *c) {
+  FkMeter *m = &c->meter;
+  if (!m->clock_ns)
+    return;
+  fk_meter_leave(m, fk_meter_enter(m, FK_COST_LOOP)); /* what goes on counts up to now */
+  g_autoptr(GString) line = g_string_new(NULL);
+  double all = 0;
+  for (guint i = 0; i < FK_COSTS; i++) {
+    double ms = (double)m->spent_ns[i] / 1e6;
+    all += i == FK_COST_IDLE ? 0 : ms;
+    g_string_append_printf(line, "%s %s %.0f/%u", i ? "," : "", fk_cost_name(i), ms, m->times[i]);
+    m->spent_ns[i] = 0;
+    m->times[i] = 0;
+  }
+  g_info("cost: %.0f ms, ms and times by purpose:%s", all, line->str);
+}
+
+/* The tables that grow with the load or with time. */
+static void log_sizes(FkController *c) {
+  FkView *v = c->view;
+  guint books = 0, homes = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, v->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    books += ((FkMachine *)p)->books->len;
+    homes += ((FkMachine *)p)->home != NULL;
+  }
+  g_info("sizes: %u jobs, %u machines (%u ours), %u bookings, %u finals, %u chunks with ends, %u ends to write, "
+         "%u probe queues, %u reports held, %u redirects, %u calls",
+         g_hash_table_size(v->jobs), g_hash_table_size(v->machines), homes, books, g_hash_table_size(v->finals),
+         g_hash_table_size(v->ends), g_hash_table_size(c->ended), g_hash_table_size(c->queues), c->held->length,
+         g_hash_table_size(c->redirects), g_hash_table_size(c->commits) + g_hash_table_size(c->gets));
+}
+
 static void waits_put(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {}
 
 /* Each window every controller writes the sum and the count of its short tasks' waits. */
@@ -158,6 +194,8 @@
          c->txn_writes[3], c->txns[4], c->txn_writes[4]);
   memset(c->txns, 0, sizeof c->txns);
   memset(c->txn_writes, 0, sizeof c->txn_writes);
+  log_cost(c);
+  log_sizes(c);
   c->wait_sum = 0;
   c->wait_count = 0;
   if (c->leading) {
@@ -432,5 +470,7 @@
     return;
   sweep(c);
   stop_tasks(c);
+  FkCost before = fk_meter_enter(&c->meter, FK_COST_FLEET);
   fk_fleet_tick(c);
+  fk_meter_leave(&c->meter, before);
 }
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -4,6 +4,7 @@
 
 #include "io/budget.h"
 #include "io/http.h"
+#include "io/vitals.h"
 #include "wire/cloud.h"
 #include "wire/store.h"
 #include "wire/user.h"
@@ -25,6 +26,8 @@
   GHashTable *requests; /* number -> SoupServerMessage */
   guint64 next_request;
   guint tick;
+  gint64 last_tick;
+  FkVitals *vitals;
   gboolean draining;
   char *state_addr, *cloud_addr;
 };
@@ -33,6 +36,10 @@
 
 static void drain(FkShell *s);
 
+/* Processor time from here on is charged to that purpose; end() takes back what begin() returned. */
+static FkCost begin(FkShell *s, FkCost what) { return fk_meter_enter(fk_controller_meter(s->core), what); }
+static void end(FkShell *s, FkCost before) { fk_meter_leave(fk_controller_meter(s->core), before); }
+
 /* ------------------------------------------------------------------ answers */
 
 static void respond(SoupServerMessage *msg, guint status, char *body /* taken */, double retry_s) {
@@ -119,9 +126,11 @@
     gboolean more = FALSE;
     FkRev epoch = {0};
     g_autoptr(GPtrArray) events = NULL;
+    FkCost before = begin(s, FK_COST_DECODE);
     if (o == FK_OK)
       events = out->kind == FK_OUT_LIST ? fk_store_parse_list(body, len, &more, &epoch)
                                         : fk_store_parse_watch(body, len, &epoch);
+    end(s, before);
     if (!events) {
       if (o == FK_OK)
         o = FK_UNKNOWN;
@@ -158,6 +167,13 @@
   return sent;
 }
 
+static char *print_commit(FkShell *s, const FkOut *o) {
+  FkCost before = begin(s, FK_COST_ENCODE);
+  char *body = fk_store_print_commit(o);
+  end(s, before);
+  return body;
+}
+
 static void store_send(gpointer data, gpointer item) {
   FkShell *s = data;
   FkOut *o = item;
@@ -167,7 +183,7 @@
   switch (o->kind) {
   case FK_OUT_COMMIT:
     path = g_strdup("/commit");
-    body = fk_store_print_commit(o);
+    body = print_commit(s, o);
     break;
   case FK_OUT_GET:
     method = "GET";
@@ -217,8 +233,10 @@
 static void commands_done(gpointer data, guint status, const char *body, gsize len) {
   Sent *sent = data;
   FkShell *s = sent->shell;
+  FkCost before = begin(s, FK_COST_REPORTS);
   FkReport *r = status == 200 || status == 409 ? fk_worker_parse_report(body, len) : NULL;
   fk_controller_commanded(s->core, now(), sent->out->call, outcome(status), r);
+  end(s, before);
   fk_out_free(sent->out);
   g_free(sent);
   drain(s);
@@ -410,26 +428,30 @@
 
 static void on_submit(FkShell *s, SoupServerMessage *msg, const char *body, gsize len) {
   const char *why = NULL;
+  FkCost before = begin(s, FK_COST_USERS);
   FkSpec *spec = len > BODY_MAX ? NULL : fk_user_parse_submission(body, len, &why);
   if (!spec) {
     g_autofree char *text = g_strdup_printf("malformed: %s", why ? why : "too long");
     refuse(msg, 400, text);
-    return;
+  } else {
+    FkRequest r = open_request(s, msg);
+    fk_controller_submit(s->core, now(), r, spec);
   }
-  FkRequest r = open_request(s, msg);
-  fk_controller_submit(s->core, now(), r, spec);
+  end(s, before);
   drain(s);
 }
 
 static void on_hello(FkShell *s, SoupServerMessage *msg, const char *body, gsize len) {
+  FkCost before = begin(s, FK_COST_REPORTS);
   FkReport *report = fk_worker_parse_report(body, len);
   if (!report) {
     g_warning("a malformed report: %.*s", (int)MIN(len, 200), body);
     refuse(msg, 400, "malformed report");
-    return;
+  } else {
+    FkRequest r = open_request(s, msg);
+    fk_controller_report(s->core, now(), r, report);
   }
-  FkRequest r = open_request(s, msg);
-  fk_controller_report(s->core, now(), r, report);
+  end(s, before);
   drain(s);
 }
 
@@ -444,11 +466,13 @@
   } else if (!fk_user_valid_id(parts[0])) {
     refuse(msg, 404, "no such job");
   } else {
+    FkCost before = begin(s, FK_COST_USERS);
     FkRequest r = open_request(s, msg);
     if (withdraw)
       fk_controller_cancel(s->core, now(), r, parts[0]);
     else
       fk_controller_get(s->core, now(), r, parts[0]);
+    end(s, before);
     drain(s);
   }
 }
@@ -488,6 +512,10 @@
 
 static gboolean on_tick(gpointer data) {
   FkShell *s = data;
+  gint64 t = g_get_monotonic_time();
+  if (s->last_tick)
+    fk_vitals_tick(s->vitals, (double)(t - s->last_tick) / 1e6 - TICK_MS / 1e3);
+  s->last_tick = t;
   fk_controller_room(s->core, fk_budget_room(s->store_budget, FK_PRIO_LAUNCH));
   fk_controller_tick(s->core, now(), g_get_real_time());
   double share = fk_controller_share(s->core), writes = fk_controller_write_share(s->core);
@@ -516,6 +544,8 @@
   g_autofree char *life =
       g_strdup_printf("%" G_GINT64_MODIFIER "x%04x", g_get_real_time() / 1000, seed & 0xffff);
   s->core = fk_controller_new(settings, life, seed, now());
+  s->vitals = fk_vitals_new(settings->tuning.window_s);
+  fk_meter_start(fk_controller_meter(s->core), fk_vitals_clock_ns);
   s->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_object_unref);
   s->store = fk_http_new(32, 32, 60);
   s->workers = fk_http_new(400, 2, 3);
@@ -538,6 +568,30 @@
   return s;
 }
 
+#define GATHER_US 4000
+
+static FkShell *turning; /* a poll function has no argument of its own */
+
+/* A turn of the main loop looks at every open connection, hundreds of them. A short pause before each wait
+ * lets what comes in the meantime share one turn. */
+static gint gather_then_poll(GPollFD *fds, guint n, gint timeout) {
+  fk_vitals_turn_ends(turning->vitals, n);
+  FkCost before = begin(turning, FK_COST_IDLE);
+  if (timeout != 0)
+    g_usleep(timeout > 0 ? MIN(GATHER_US, timeout * 1000) : GATHER_US);
+  gint ready = g_poll(fds, n, timeout > 0 ? MAX(0, timeout - GATHER_US / 1000) : timeout);
+  end(turning, before);
+  fk_vitals_turn_begins(turning->vitals);
+  return ready;
+}
+
+void fk_shell_run(FkShell *s) {
+  turning = s;
+  g_main_context_set_poll_func(NULL, gather_then_poll);
+  g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
+  g_main_loop_run(loop);
+}
+
 void fk_shell_free(FkShell *s) {
   if (!s)
     return;
@@ -554,5 +608,6 @@
   fk_budget_free(s->cloud_budget);
   g_hash_table_unref(s->requests);
   fk_controller_free(s->core);
+  fk_vitals_free(s->vitals);
   g_free(s);
 }
--- a/src/main.c
+++ b/src/main.c
@@ -9,16 +9,6 @@
 
 #define OPERATOR_ENV "FLAXKNOT_OPERATOR"
 
-#define GATHER_US 4000
-
-/* A turn of the main loop looks at every open connection, hundreds of them. A short pause before each wait
- * lets what comes in the meantime share one turn. */
-static gint gather_then_poll(GPollFD *fds, guint n, gint timeout) {
-  if (timeout != 0)
-    g_usleep(timeout > 0 ? MIN(GATHER_US, timeout * 1000) : GATHER_US);
-  return g_poll(fds, n, timeout > 0 ? MAX(0, timeout - GATHER_US / 1000) : timeout);
-}
-
 static FkSettings *load(const char *config, const char *operator_file, GError **error) {
   g_autofree char *text = NULL;
   gsize len;
@@ -89,9 +79,7 @@
     fprintf(stderr, "flaxknot: %s\n", error->message);
     return 1;
   }
-  g_main_context_set_poll_func(NULL, gather_then_poll);
-  g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
-  g_main_loop_run(loop);
+  fk_shell_run(shell);
   fk_shell_free(shell);
   return 0;
 }
