Sessions for many hosts are renewed: libsoup kept a timer for each machine called

Now a session for workers is given up after 32 calls; what is over its connections waits in a queue.

--- a/src/core/meter.h
+++ b/src/core/meter.h
@@ -1,6 +1,6 @@
-/* Processor time by purpose. The clock is an input: the shell gives one, tests may give none. What is going on
- * is a small stack kept by the callers: fk_meter_enter() says what begins, and returns what went on before, to
- * be handed to fk_meter_leave(). Time is charged to the innermost purpose only. */
+/* Processor time by purpose. The clock is an input: the shell gives one, tests may give none. What is going
+ * on is a small stack kept by the callers: fk_meter_enter() says what begins, and returns what went on
+ * before, to be handed to fk_meter_leave(). Time is charged to the innermost purpose only. */
 #pragma once
 #include <glib.h>
 
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -548,7 +548,7 @@
   fk_meter_start(fk_controller_meter(s->core), fk_vitals_clock_ns);
   s->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_object_unref);
   s->store = fk_http_new(32, 32, 60);
-  s->workers = fk_http_new(400, 2, 3);
+  s->workers = fk_http_new_many(400);
   s->cloud = fk_http_new(4, 4, 60);
   s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8,
                                   FK_PRIO_RESULT + 1, FK_PRIO_USER + 1, 2000, store_send, store_shed, s);
--- a/src/io/vitals.c
+++ b/src/io/vitals.c
@@ -64,10 +64,12 @@
 
 static void report(FkVitals *v) {
   struct mallinfo2 m = mallinfo2();
-  g_info("vitals: %u turns, the longest %.1f ms of processor time, at most %u sockets watched; ticks late by %.0f ms (p50), %.0f ms (p99), "
+  g_info("vitals: %u turns, the longest %.1f ms of processor time, at most %u sockets watched; ticks late by "
+         "%.0f ms (p50), %.0f ms (p99), "
          "%.0f ms (worst); heap %.1f MB used, %.1f MB held",
-         v->turns, (double)v->longest_ns / 1e6, v->watched, 1e3 * quantile(v->late, 0.5), 1e3 * quantile(v->late, 0.99),
-         1e3 * v->worst_late_s, (double)(m.uordblks + m.hblkhd) / 1e6, (double)(m.arena + m.hblkhd) / 1e6);
+         v->turns, (double)v->longest_ns / 1e6, v->watched, 1e3 * quantile(v->late, 0.5),
+         1e3 * quantile(v->late, 0.99), 1e3 * v->worst_late_s, (double)(m.uordblks + m.hblkhd) / 1e6,
+         (double)(m.arena + m.hblkhd) / 1e6);
   gsl_histogram_reset(v->late);
   v->worst_late_s = 0;
   v->longest_ns = 0;
