Probes are small arrays that refer to jobs, freed with their machine

A queue outlived its machine. Now a probe is a counted reference to the job, compared as a pointer; jobs that are gone wait for nothing.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -259,7 +259,6 @@
   }
   fk_view_clear(c->view);
   g_hash_table_remove_all(c->peer_proof);
-  g_hash_table_remove_all(c->queues);
   g_clear_pointer(&c->list_after, g_free);
   c->list_epoch.n = 0;
   c->catch_up.n = 0;
@@ -807,8 +806,6 @@
 
 /* ------------------------------------------------------------------ life */
 
-static void fk_queue_free(gpointer q) { g_queue_free_full(q, g_free); }
-
 static void redirect_free(gpointer p) {
   FkRedirect *r = p;
   g_free(r->to);
@@ -833,7 +830,6 @@
   c->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, fk_ending_free);
   c->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, redirect_free);
   c->commands = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-  c->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fk_queue_free);
   c->types = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fk_type_free);
   c->fleet = fk_fleet_new();
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
@@ -865,7 +861,6 @@
   g_hash_table_unref(c->hindrances);
   g_hash_table_unref(c->commands);
   g_array_unref(c->pending);
-  g_hash_table_unref(c->queues);
   g_hash_table_unref(c->types);
   fk_fleet_free(c->fleet);
   fk_view_free(c->view);
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -472,10 +472,11 @@
     FkMachine *m = fk_view_machine(c->view, key);
     if (!m)
       continue;
-    if (m->home && !fk_is_mine(c, m))
+    if (!fk_is_mine(c, m)) {
       g_clear_pointer(&m->home, fk_home_free);
-    if (!fk_is_mine(c, m))
+      g_clear_pointer(&m->probes, g_ptr_array_unref);
       continue;
+    }
     refresh_claim(c, m);
     act(c, m);
   }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -126,8 +126,7 @@
   gboolean launching;
   FkRev launch_wait;
   FkTime launch_after;
-  GArray *pending;    /* FkPend: room promised to launches that the view doesn't show yet */
-  GHashTable *queues; /* machine -> GQueue of job ids: the short tasks' probes */
+  GArray *pending; /* FkPend: room promised to launches that the view doesn't show yet */
 
   /* windows */
   guint64 window;
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -144,19 +144,21 @@
 /* The tables that grow with the load or with time. */
 static void log_sizes(FkController *c) {
   FkView *v = c->view;
-  guint books = 0, homes = 0;
+  guint books = 0, homes = 0, probes = 0;
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, v->machines);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     books += ((FkMachine *)p)->books->len;
     homes += ((FkMachine *)p)->home != NULL;
+    probes += ((FkMachine *)p)->probes ? ((FkMachine *)p)->probes->len : 0;
   }
-  g_info("sizes: %u jobs, %u machines (%u ours), %u bookings, %u finals, %u chunks with ends, %u ends to write, "
-         "%u probe queues, %u reports held, %u redirects, %u calls",
-         g_hash_table_size(v->jobs), g_hash_table_size(v->machines), homes, books, g_hash_table_size(v->finals),
-         g_hash_table_size(v->ends), g_hash_table_size(c->ended), g_hash_table_size(c->queues), c->held->length,
-         g_hash_table_size(c->redirects), g_hash_table_size(c->commits) + g_hash_table_size(c->gets));
+  g_info(
+      "sizes: %u jobs, %u machines (%u ours), %u bookings, %u finals, %u chunks with ends, %u ends to write, "
+      "%u probes, %u reports held, %u redirects, %u calls",
+      g_hash_table_size(v->jobs), g_hash_table_size(v->machines), homes, books, g_hash_table_size(v->finals),
+      g_hash_table_size(v->ends), g_hash_table_size(c->ended), probes, c->held->length,
+      g_hash_table_size(c->redirects), g_hash_table_size(c->commits) + g_hash_table_size(c->gets));
 }
 
 static void waits_put(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {}
--- a/src/core/short.c
+++ b/src/core/short.c
@@ -8,15 +8,6 @@
 
 /* ------------------------------------------------------------------ the short path */
 
-static GQueue *queue_of(FkController *c, FkMachine *m) {
-  GQueue *q = g_hash_table_lookup(c->queues, m->id);
-  if (!q) {
-    q = g_queue_new();
-    g_hash_table_insert(c->queues, (gpointer)m->id, q);
-  }
-  return q;
-}
-
 #define TURN_S 0.5
 
 /* A short job is its owner's first. What the owner has no room for goes round: one other controller at a time
@@ -34,28 +25,33 @@
   return (g_str_hash(j->spec->id) + turn) % n == before;
 }
 
+/* A machine's probes are a small array that refers to the jobs: looking through it costs a few comparisons of
+ * pointers, and what is over is found without a look-up. */
+static gboolean has_probe(const GPtrArray *probes, const FkJob *j) {
+  for (guint i = 0; i < probes->len; i++)
+    if (probes->pdata[i] == j)
+      return TRUE;
+  return FALSE;
+}
+
 /* A full queue keeps the jobs that come first in the order: without this, a crowd of jobs that came early
  * would shut out all later ones, however short or urgent. */
-static gboolean make_way(FkController *c, GQueue *q, const FkJob *j) {
-  GList *last = NULL;
-  guint last_place = j->place;
-  for (GList *l = q->head; l; l = l->next) {
-    const FkJob *other = fk_view_job(c->view, l->data);
-    guint place = other && fk_job_waiting(other) ? other->place : G_MAXUINT;
+static gboolean make_way(GPtrArray *probes, const FkJob *j) {
+  guint last = probes->len, last_place = j->place;
+  for (guint i = 0; i < probes->len; i++) {
+    const FkJob *other = probes->pdata[i];
+    guint place = fk_job_waiting(other) ? other->place : G_MAXUINT;
     if (place > last_place) {
-      last = l;
+      last = i;
       last_place = place;
     }
   }
-  if (!last)
+  if (last == probes->len)
     return FALSE;
-  g_free(last->data);
-  g_queue_delete_link(q, last);
+  g_ptr_array_remove_index_fast(probes, last);
   return TRUE;
 }
 
-static gint find_id(gconstpointer a, gconstpointer b) { return strcmp(a, b); }
-
 /* Batch sampling: some of our machines, drawn at random, get a probe of the job in their queues; machines
  * with room first. */
 static void probe(FkController *c, FkJob *j, GPtrArray *mine) {
@@ -69,14 +65,15 @@
     FkMachine *m = mine->pdata[i];
     if (!fk_job_allows(c, j, m))
       continue;
-    GQueue *q = queue_of(c, m);
-    if (g_queue_find_custom(q, j->spec->id, find_id)) {
+    if (!m->probes)
+      m->probes = g_ptr_array_new_with_free_func(fk_job_unref);
+    if (has_probe(m->probes, j)) {
       want--;
       continue;
     }
-    if (q->length >= QUEUE_MAX && !make_way(c, q, j))
+    if (m->probes->len >= QUEUE_MAX && !make_way(m->probes, j))
       continue;
-    g_queue_push_tail(q, g_strdup(j->spec->id));
+    g_ptr_array_add(m->probes, fk_job_ref(j));
     want--;
   }
 }
@@ -84,24 +81,21 @@
 /* Late binding: a machine with room takes the tasks in its queue that are still waiting, in the order of
  * jobs, not of arrival: ranks and deadlines hold inside a queue too. */
 static void bind_queue(FkController *c, FkBatch *b, FkMachine *m, double *spare) {
-  GQueue *q = g_hash_table_lookup(c->queues, m->id);
-  if (!q || g_queue_is_empty(q))
-    return;
   FkJob *waiting[QUEUE_MAX];
   guint n = 0;
-  for (GList *l = q->head; l;) {
-    GList *next = l->next;
-    FkJob *j = fk_view_job(c->view, l->data);
-    if (!j || !fk_job_waiting(j) || n >= QUEUE_MAX) {
-      g_free(l->data);
-      g_queue_delete_link(q, l);
-    } else if (j->place && fk_time_reached(c->now, j->retry_at)) {
+  for (guint i = 0; m->probes && i < m->probes->len;) {
+    FkJob *j = m->probes->pdata[i];
+    if (!fk_job_waiting(j)) {
+      g_ptr_array_remove_index_fast(m->probes, i);
+      continue;
+    }
+    if (j->place && fk_time_reached(c->now, j->retry_at)) {
       guint at = n++;
       for (; at && waiting[at - 1]->place > j->place; at--)
         waiting[at] = waiting[at - 1];
       waiting[at] = j;
     }
-    l = next;
+    i++;
   }
   for (guint i = 0; i < n && !fk_batch_full(c, b); i++) {
     FkJob *j = waiting[i];
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -117,16 +117,31 @@
   return FK_KEY_OTHER;
 }
 
-static void job_free(gpointer p) {
+FkJob *fk_job_ref(FkJob *j) {
+  j->refs++;
+  return j;
+}
+
+void fk_job_unref(gpointer p) {
+  FkJob *j = p;
+  if (--j->refs > 0)
+    return;
+  fk_spec_unref(j->spec);
+  g_free(j);
+}
+
+/* The view has it no more. Probes may refer to it for a while: they find nothing that waits. */
+static void job_gone(gpointer p) {
   FkJob *j = p;
   for (guint32 i = 0; i < j->n_chunks; i++) {
     fk_chunk_free(j->chunks[i]);
     fk_chunk_free(j->bases[i]);
   }
-  g_free(j->chunks);
-  g_free(j->bases);
-  fk_spec_unref(j->spec);
-  g_free(j);
+  g_clear_pointer(&j->chunks, g_free);
+  g_clear_pointer(&j->bases, g_free);
+  j->n_chunks = 0;
+  j->gone = TRUE;
+  fk_job_unref(j);
 }
 
 /* core/home.c */
@@ -141,6 +156,8 @@
   g_array_unref(m->books);
   g_hash_table_unref(m->images);
   fk_home_free(m->home);
+  if (m->probes)
+    g_ptr_array_unref(m->probes);
   g_free(m);
 }
 
@@ -178,7 +195,7 @@
 FkView *fk_view_new(const FkSettings *s) {
   FkView *v = g_new0(FkView, 1);
   v->settings = s;
-  v->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+  v->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_gone);
   v->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
   v->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, node_free);
   v->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, group_free);
@@ -544,6 +561,7 @@
   }
   if (!j) {
     j = g_new0(FkJob, 1);
+    j->refs = 1;
     j->spec = fk_spec_ref(r->spec);
     j->n_chunks = fk_spec_chunks(j->spec);
     j->chunks = g_new0(FkChunk *, j->n_chunks);
@@ -757,4 +775,6 @@
 
 gboolean fk_job_complete(const FkJob *j) { return j->done == j->spec->tasks; }
 
-guint32 fk_job_waiting(const FkJob *j) { return j->cancelled ? 0 : j->spec->tasks - j->done - j->booked; }
+guint32 fk_job_waiting(const FkJob *j) {
+  return j->cancelled || j->gone ? 0 : j->spec->tasks - j->done - j->booked;
+}
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -85,6 +85,8 @@
 void fk_event_free(FkEvent *e);
 
 typedef struct {
+  gint refs; /* the view's, and one for each probe */
+  gboolean gone; /* the view has it no more: nothing of it waits */
   FkSpec *spec;
   FkRev rev;
   gboolean cancelled;
@@ -154,7 +156,8 @@
   gboolean barred;
   FkTime full_until;  /* it refused a start: nothing new for a while */
   FkHome *home;       /* this controller's dealings with it, if it is home */
-  GHashTable *images; /* images started there lately (interned) -> FkTime* */
+  GHashTable *images; /* images started there lately (interned) */
+  GPtrArray *probes;  /* FkJob, with a reference: short jobs that may start here; NULL: none yet */
 } FkMachine;
 
 typedef struct {
@@ -232,6 +235,8 @@
 double fk_view_run_s(FkView *v, const FkSpec *s);
 /* Once a second or so: how fast services arrive. */
 void fk_view_rate_services(FkView *v);
+FkJob *fk_job_ref(FkJob *j);
+void fk_job_unref(gpointer j);
 FkPhase fk_job_phase(const FkJob *j);
 gboolean fk_job_complete(const FkJob *j);
 guint32 fk_job_waiting(const FkJob *j);
