A group is claimed when a part of its machines come back; silence is judged by zone

Cause: after a crash of all, busy controllers took the same groups from each other some 500 times in 120 s, on the word of two workers of fifty; each time all machines must hear of a new token. Homes then had machines of the other zone, and after a partition took 400 of them for silent.

--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -5,10 +5,11 @@
 
 #include <string.h>
 
-#define SETTLED_S 10.0 /* a controller that came back takes its groups back after this */
-#define LOST_S 60.0    /* a group lost to a live controller is left there for so long */
-#define CLAIMS_MAX 16  /* a transaction */
-#define BACK_MAX 2     /* groups taken back from the living at a time */
+#define SETTLED_S 10.0     /* a controller that came back takes its groups back after this */
+#define THEIRS_LEASES 0.33 /* leases: work survives it, should the new home fail at once */
+#define LOST_S 60.0        /* a group lost to a live controller is left there for so long */
+#define CLAIMS_MAX 16      /* a transaction */
+#define BACK_MAX 2         /* groups taken back from the living at a time */
 #define BACK_PAUSE_S 2.0
 
 gboolean fk_group_mine(FkController *c, const FkGroup *g) {
@@ -68,6 +69,8 @@
   if (g->was_mine && !mine && g->home && !g_str_equal(g->home, c->settings->node) && fk_alive(c, g->home) &&
       fk_time_between(c->ready_since, c->now) > SETTLED_S)
     g->lost_until = fk_time_add(c->now, LOST_S);
+  if (g->was_mine && !mine)
+    g->theirs_until = fk_time_add(c->now, c->settings->lease_s * THEIRS_LEASES);
   g->was_mine = mine;
   if (!fk_time_reached(c->now, g->claim_after))
     return FALSE;
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -831,6 +831,7 @@
   c->redirects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, redirect_free);
   c->commands = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   c->types = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fk_type_free);
+  c->heard = g_array_new(FALSE, FALSE, sizeof(FkHeard));
   c->fleet = fk_fleet_new();
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
   c->window_end = fk_time_add(now, s->tuning.window_s);
@@ -860,6 +861,7 @@
   g_hash_table_unref(c->ended);
   g_hash_table_unref(c->hindrances);
   g_hash_table_unref(c->commands);
+  g_array_unref(c->heard);
   g_array_unref(c->pending);
   g_hash_table_unref(c->types);
   fk_fleet_free(c->fleet);
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -6,6 +6,7 @@
 #define MARGIN_S 2.0
 #define MAX_ORDERS 200   /* an answer's line stays far below 64 KiB */
 #define COME_BACK_S 12.0 /* a worker that comes back within this can't reach its home */
+#define BACK_SHARE 0.15  /* of a group's machines that come back: its home can't be reached */
 #define RECLAIM_S 3.0    /* a claim made anew must have had time to be heard of */
 #define SICK_FAILURES 3
 #define PROBE_AFTER 1.4   /* report intervals without a report: ask the machine itself */
@@ -324,23 +325,33 @@
   }
 }
 
-/* Its workers can't reach the group's home, or the one that should have it: two of them, or one twice, or all
- * there are, came back from there. */
+/* Its workers can't reach the group's home, or the one that should have it, when a part of them came back
+ * from there; one that came back twice counts for two. A few of many prove nothing but that the home is slow,
+ * and a home that has only just taken the group from us can be reached, since its workers were there: without
+ * both, two busy controllers take the same groups from each other again and again, and each time all their
+ * machines must hear of a new token. */
 static void came_back(FkController *c, FkGroup *g, const char *machine) {
-  FkTime *again = g_hash_table_lookup(g->back, machine);
-  gboolean twice = again && fk_time_between(*again, c->now) < 3 * COME_BACK_S;
-  g_hash_table_replace(g->back, g_strdup(machine), g_memdup2(&c->now, sizeof c->now));
+  FkBack *b = g_hash_table_lookup(g->back, machine);
+  if (!b) {
+    b = g_new0(FkBack, 1);
+    g_hash_table_insert(g->back, g_strdup(machine), b);
+  }
+  b->before = b->last;
+  b->last = c->now;
   guint lately = 0;
   GHashTableIter it;
-  gpointer t;
+  gpointer p;
   g_hash_table_iter_init(&it, g->back);
-  while (g_hash_table_iter_next(&it, NULL, &t)) {
-    double ago = fk_time_between(*(FkTime *)t, c->now);
-    lately += ago < COME_BACK_S;
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    b = p;
+    double ago = fk_time_between(b->last, c->now);
+    if (ago < COME_BACK_S)
+      lately += b->before.us && fk_time_between(b->before, b->last) < 3 * COME_BACK_S ? 2 : 1;
     if (ago > 3 * COME_BACK_S)
       g_hash_table_iter_remove(&it);
   }
-  if (twice || lately >= 2 || g->machines->len <= 1)
+  double enough = MAX(2, BACK_SHARE * g->machines->len);
+  if (fk_time_reached(c->now, g->theirs_until) && (lately >= enough || g->machines->len <= 1))
     g->wanted = TRUE;
 }
 
@@ -581,6 +592,38 @@
     fk_view_drop_machine(c->view, drop->pdata[i]);
 }
 
+static FkHeard *zone_heard(FkController *c, const char *zone) {
+  for (guint i = 0; i < c->heard->len; i++)
+    if (g_array_index(c->heard, FkHeard, i).zone == zone)
+      return &g_array_index(c->heard, FkHeard, i);
+  FkHeard h = {zone, 0, 0};
+  g_array_append_val(c->heard, h);
+  return &g_array_index(c->heard, FkHeard, c->heard->len - 1);
+}
+
+/* Counted by zone: a home that a partition has cut off from another zone still hears its own, and must not
+ * take all the machines over there for silent. */
+static void count_heard(FkController *c) {
+  g_array_set_size(c->heard, 0);
+  double recent = 1.25 * c->settings->report_s + 1.5;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->groups);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkGroup *g = p;
+    if (!fk_group_mine(c, g))
+      continue;
+    FkHeard *h = zone_heard(c, g->zone);
+    for (guint i = 0; i < g->machines->len; i++) {
+      FkMachine *m = g->machines->pdata[i];
+      if (!m->home || !m->rec)
+        continue;
+      h->all++;
+      h->fresh += fk_time_between(m->home->last_heard, c->now) < recent;
+    }
+  }
+}
+
 #define LATE_S 0.7 /* a tick so much later than the last: we are behind */
 #define LATE_PAUSE_S 3.0
 
@@ -595,30 +638,20 @@
     handle_report(c, held->request, held->report, held->since, &held->rev);
     g_free(held);
   }
-  guint fresh = 0, all = 0;
-  double recent = 1.25 * c->settings->report_s + 1.5;
   GHashTableIter it;
   gpointer p;
   c->slice = (c->slice + 1) % SLICES;
-  if (!c->slice)
+  if (!c->slice) {
     drop_gone(c);
-  g_hash_table_iter_init(&it, c->view->groups);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    FkGroup *g = p;
-    for (guint i = 0; fk_group_mine(c, g) && i < g->machines->len; i++) {
-      FkMachine *m = g->machines->pdata[i];
-      if (!m->home || !m->rec)
-        continue;
-      all++;
-      fresh += fk_time_between(m->home->last_heard, c->now) < recent;
-    }
+    count_heard(c);
   }
   g_hash_table_iter_init(&it, c->view->groups);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkGroup *g = p;
+    const FkHeard *h = zone_heard(c, g->zone);
     for (guint i = c->slice; fk_group_mine(c, g) && i < g->machines->len; i += SLICES)
       if (((FkMachine *)g->machines->pdata[i])->home)
-        look_after(c, g->machines->pdata[i], fresh, all);
+        look_after(c, g->machines->pdata[i], h->fresh, h->all);
   }
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -42,6 +42,12 @@
   char *to;
 } FkRedirect;
 
+/* This home's machines of one zone, and how many of them were heard lately. */
+typedef struct {
+  const char *zone; /* interned */
+  guint fresh, all;
+} FkHeard;
+
 typedef struct FkFleet FkFleet;
 typedef struct FkEnding FkEnding;
 
@@ -119,6 +125,7 @@
   FkTime last_tick, late_until; /* we were too slow lately to tell who is silent */
   double write_room;            /* writes that would go out at once */
   guint slice;                  /* of the machines, to be looked through next */
+  GArray *heard;                /* FkHeard, counted once in all slices */
 
   /* launches */
   gboolean fence_needed, fencing; /* a launch may yet apply: a write of our fence makes that impossible */
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -85,7 +85,7 @@
 void fk_event_free(FkEvent *e);
 
 typedef struct {
-  gint refs; /* the view's, and one for each probe */
+  gint refs;     /* the view's, and one for each probe */
   gboolean gone; /* the view has it no more: nothing of it waits */
   FkSpec *spec;
   FkRev rev;
@@ -120,6 +120,11 @@
 
 typedef struct FkHome FkHome;
 
+/* A machine that was sent to its home and came back: the last two times. */
+typedef struct {
+  FkTime last, before;
+} FkBack;
+
 /* Machines of one zone that have one home together: the claim's revision is the token of them all. */
 typedef struct {
   const char *id, *zone; /* interned */
@@ -128,10 +133,11 @@
   FkRev page_rev;
   GPtrArray *machines; /* FkMachine: those described in the page, and others heard of */
   FkTime claim_after, lost_until;
+  FkTime theirs_until; /* another has just taken it from us: that its workers come back proves nothing */
   gboolean was_mine;
   gboolean wanted;  /* to be claimed: its workers can't reach their home, or a start must be made void */
   gboolean dirty;   /* its page is to be written */
-  GHashTable *back; /* machines that came back from their home lately -> FkTime* */
+  GHashTable *back; /* machines that came back from their home lately -> FkBack* */
 } FkGroup;
 
 typedef struct {
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -252,6 +252,96 @@
   rig_free(r);
 }
 
+static void report_of(Rig *r, const char *machine, const char *zone, guint64 seq) {
+  FkReport *rep = fk_report_new();
+  rep->machine = g_strdup(machine);
+  rep->addr = g_strdup("127.0.0.1:9");
+  rep->type = g_strdup("box8");
+  rep->zone = g_strdup(zone);
+  rep->session = 1;
+  rep->seq = seq;
+  fk_controller_report(r->c, r->now, (FkRequest){seq}, rep);
+  pump(r);
+}
+
+/* A page of so many machines of the zone, all in the group of the first; their names go into `ids`. */
+static char *page_of(const char *zone, const char *name, guint n, GPtrArray *ids) {
+  g_autofree char *one = g_strconcat(name, "-1", NULL), *group = fk_group_id(zone, one);
+  GString *page = g_string_new(NULL);
+  g_string_printf(page, "{\"zone\":\"%s\",\"m\":[", zone);
+  guint first = ids->len;
+  for (guint k = 1; ids->len < first + n; k++) {
+    g_autofree char *id = g_strdup_printf("%s-%u", name, k), *of = fk_group_id(zone, id);
+    if (!g_str_equal(of, group))
+      continue;
+    g_string_append_printf(page, "%s[\"%s\",\"box8\",\"127.0.0.1:9\",0]", ids->len > first ? "," : "", id);
+    g_ptr_array_add(ids, g_steal_pointer(&id));
+  }
+  g_string_append(page, "]}");
+  return g_string_free(page, FALSE);
+}
+
+/* Another's group is claimed when a part of its machines were sent there and came back; a few of many, or a
+ * group just lost, prove nothing: two busy controllers once took the same groups from each other for 25 s. */
+static void test_came_back(void) {
+  static const struct {
+    guint machines, back;
+    gboolean just_lost, claimed;
+  } cases[] = {{2, 2, FALSE, TRUE},   {20, 2, FALSE, FALSE}, {20, 3, FALSE, TRUE},
+               {40, 5, FALSE, FALSE}, {40, 6, FALSE, TRUE},  {20, 3, TRUE, FALSE}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(cases[i].just_lost);
+    g_autofree char *claim = group_key("g"), *page = group_key("m");
+    g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+    g_autofree char *members = page_of("north", "i", cases[i].machines, ids);
+    const char *lines[] = {claim, "{\"node\":\"c-2\",\"life\":\"y\"}", page, members, NULL};
+    watched(r, lines);
+    tick(r, 0.3);
+    g_ptr_array_set_size(r->outs, 0);
+    for (guint k = 0; k < 2 * cases[i].back; k++) {
+      report_of(r, ids->pdata[k % cases[i].back], "north", 1 + k);
+      tick(r, 0.2);
+    }
+    g_assert_cmpint(find(r, FK_OUT_COMMIT, claim) != NULL, ==, cases[i].claimed);
+    rig_free(r);
+  }
+}
+
+/* A home that hears its own zone and none of another is cut off from that one: marking its machines silent
+ * would give them all back, with what runs there. One quiet machine among others is silent. */
+static void test_silent_by_zone(void) {
+  for (guint cut_off = 0; cut_off < 2; cut_off++) {
+    Rig *r = rig_new(TRUE);
+    g_autoptr(GPtrArray) north = g_ptr_array_new_with_free_func(g_free),
+                         south = g_ptr_array_new_with_free_func(g_free);
+    g_autofree char *page = group_key("m"), *members = page_of("north", "i", 4, north),
+                    *others = page_of("south", "s", 6, south);
+    g_autofree char *group = fk_group_id("south", "s-1"), *claim = g_strconcat("fk/l/g/", group, NULL),
+                    *south_page = g_strconcat("fk/l/m/", group, NULL);
+    const char *lines[] = {page,       members, claim, "{\"node\":\"c-0\",\"life\":\"now\"}",
+                           south_page, others,  NULL};
+    watched(r, lines);
+    gboolean marked = FALSE;
+    for (guint step = 0; step < 60 && !marked; step++) {
+      for (guint i = 0; i < south->len; i++)
+        report_of(r, south->pdata[i], "south", 1 + step);
+      for (guint i = 1; !cut_off && i < north->len; i++)
+        report_of(r, north->pdata[i], "north", 1 + step);
+      tick(r, 0.5);
+      for (guint i = 0; i < r->outs->len; i++) {
+        FkOut *o = r->outs->pdata[i];
+        if (o->kind == FK_OUT_COMMANDS)
+          fk_controller_commanded(r->c, r->now, o->call, FK_UNKNOWN, NULL);
+      }
+      marked = find(r, FK_OUT_COMMIT, page) != NULL;
+      g_ptr_array_set_size(r->outs, 0);
+      watched(r, NULL);
+    }
+    g_assert_cmpint(marked, ==, !cut_off);
+    rig_free(r);
+  }
+}
+
 /* Ends that a home writes down count against the chunk's bookings, until the chunk says so itself. */
 static void test_ends(void) {
   static const struct {
@@ -343,6 +433,8 @@
   g_test_add_func("/core/ended_stays_ended", test_ended_stays_ended);
   g_test_add_func("/core/earlier_homes_trust", test_earlier_homes_trust);
   g_test_add_func("/core/groups", test_groups);
+  g_test_add_func("/core/came_back", test_came_back);
+  g_test_add_func("/core/silent_by_zone", test_silent_by_zone);
   g_test_add_func("/core/ends", test_ends);
   g_test_add_func("/core/split", test_split);
   g_test_add_func("/core/budget", test_budget);
