Launches keep a part of the writes; submissions that would wait over a second are refused

Cause: after a crash of all, the balancer sends every submission to the first controller that is healthy.

--- a/test/test_core.c
+++ b/test/test_core.c
@@ -374,6 +374,44 @@
     }
 }
 
+/* What applying a change costs follows from what changed, not from how large the chunk or the page is. */
+static void test_work(void) {
+  Rig *r = rig_new(FALSE);
+  FkView *v = fk_controller_view(r->c);
+  const char *big =
+      "{\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":2,\"tasks\":128,\"cpus\":1,\"gpus\":0,"
+      "\"mem\":1,\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,"
+      "\"estimate\":10,\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-1\",\"chunk\":128}";
+  const char *job[] = {"fk/l/j/run-9", big, NULL};
+  watched(r, job);
+  static const struct {
+    const char *page; /* what the page of ends says; NULL: a launch */
+    guint booked;     /* bookings in the chunk's record, from task 0 on */
+    guint work;
+  } steps[] = {{NULL, 60, 60},
+               {NULL, 61, 1},
+               {"{\"run-9/0\":{\"d\":\"1\"}}", 61, 1},
+               {"{\"run-9/0\":{\"d\":\"1\"}}", 61, 0},
+               {"{\"run-9/0\":{\"d\":\"3\",\"r\":[5,6]}}", 61, 2},
+               {"{}", 61, 0}};
+  for (guint i = 0; i < G_N_ELEMENTS(steps); i++) {
+    g_autoptr(GString) chunk = g_string_new(NULL);
+    g_string_printf(chunk, "{\"f\":0,\"n\":128,\"a\":%u,\"b\":[", steps[i].booked + 1);
+    for (guint t = 0; t < steps[i].booked; t++)
+      g_string_append_printf(chunk, "%s[%u,%u,\"i-%u\",\"c-1\"]", t ? "," : "", t, t + 1, 100 + t % 20);
+    g_string_append(chunk, "]}");
+    const char *lines[] = {steps[i].page ? "fk/l/r/c-1/0" : "fk/l/t/run-9/00000",
+                           steps[i].page ? steps[i].page : chunk->str, NULL};
+    guint64 before = v->work;
+    watched(r, lines);
+    g_assert_cmpuint(v->work - before, ==, steps[i].work);
+  }
+  FkJob *j = fk_view_job(v, "run-9");
+  g_assert_cmpuint(j->done, ==, 2);
+  g_assert_cmpuint(j->booked, ==, 58);
+  rig_free(r);
+}
+
 /* A split limit: what others launched doesn't count against our share, and a pause gives nobody anything. */
 static void test_split(void) {
   static const struct {
@@ -398,7 +436,7 @@
 }
 
 static void count_sent(gpointer data, gpointer item) { ++*(guint *)data; }
-static void count_shed(gpointer data, gpointer item) {}
+static void count_shed(gpointer data, gpointer item) { *(guint *)data += 1000; }
 
 /* What waits in the background stays within its share; what users wait for may run it into debt. */
 static void test_budget(void) {
@@ -418,6 +456,19 @@
   g_assert_cmpuint(sent, ==, 10);
   fk_budget_free(small);
   fk_budget_free(b);
+  /* A crowd of submissions runs into debt, waits for a second at the most, and leaves launches their part: a
+   * leader that was sent the submissions of all once started nothing for 10 s. */
+  sent = 0;
+  FkBudget *crowd = fk_budget_new(1000, 10, 1.0, 3, 1, 100, count_sent, count_shed, &sent);
+  for (guint i = 0; i < 40; i++)
+    fk_budget_add(crowd, 0, 1, &sent);
+  g_assert_cmpuint(sent % 1000, ==, 17); /* 6.5 that are for all, and 10 that are owed */
+  g_assert_cmpuint(sent / 1000, ==, 13); /* 10 wait */
+  g_assert_cmpfloat(fk_budget_room(crowd, 2), >=, 3.5);
+  fk_budget_add(crowd, 2, 3, &sent);
+  g_assert_cmpuint(sent % 1000, ==, 18);
+  g_assert_cmpfloat(fk_budget_room(crowd, 2), <, 1);
+  fk_budget_free(crowd);
 }
 
 static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
@@ -436,6 +487,7 @@
   g_test_add_func("/core/came_back", test_came_back);
   g_test_add_func("/core/silent_by_zone", test_silent_by_zone);
   g_test_add_func("/core/ends", test_ends);
+  g_test_add_func("/core/work", test_work);
   g_test_add_func("/core/split", test_split);
   g_test_add_func("/core/budget", test_budget);
   return g_test_run();
