Lately is shorter than the shortest silence: a zone just cut off isn't taken for silent

Machines with services are judged after 6.5 s, but those heard in the last 14 s, so from before the cut, counted as heard. Now lately ends a second before the shortest silence.

--- a/src/core/home.c
+++ b/src/core/home.c
@@ -611,10 +611,13 @@
 }
 
 /* Counted by zone: a home that a partition has cut off from another zone still hears its own, and must not
- * take all the machines over there for silent. */
+ * take all the machines over there for silent. What counts as lately is shorter than the shortest silence:
+ * when the first machine over there would be judged, none of the others may count as heard from before the
+ * cut. */
 static void count_heard(FkController *c) {
   g_array_set_size(c->heard, 0);
-  double recent = 1.25 * c->settings->report_s + 1.5;
+  double report_s = c->settings->report_s,
+         recent = MIN(1.25 * report_s + 1.5, PROBE_AFTER * MIN(report_s, WATCHED_S) + SILENT_MORE_S - 1);
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->groups);
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -310,8 +310,11 @@
 /* A home that hears its own zone and none of another is cut off from that one: marking its machines silent
  * would give them all back, with what runs there. One quiet machine among others is silent. */
 static void test_silent_by_zone(void) {
-  for (guint cut_off = 0; cut_off < 2; cut_off++) {
+  /* 0: one is quiet; 1: all of the zone always were; 2: all are from a moment on, one of them with a service,
+   * so that it is asked sooner than the others would report */
+  for (guint cut_off = 0; cut_off < 3; cut_off++) {
     Rig *r = rig_new(TRUE);
+    r->s->report_s = cut_off == 2 ? 10 : r->s->report_s;
     g_autoptr(GPtrArray) north = g_ptr_array_new_with_free_func(g_free),
                          south = g_ptr_array_new_with_free_func(g_free);
     g_autofree char *page = group_key("m"), *members = page_of("north", "i", 4, north),
@@ -321,12 +324,22 @@
     const char *lines[] = {page,       members, claim, "{\"node\":\"c-0\",\"life\":\"now\"}",
                            south_page, others,  NULL};
     watched(r, lines);
+    const char *service[] = {
+        "fk/l/j/run-9",
+        "{\"class\":\"c\",\"team\":\"red\",\"shape\":1,\"rank\":1,\"tasks\":1,\"cpus\":1,"
+        "\"gpus\":0,\"mem\":1,\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,"
+        "\"spread\":false,\"spot\":false,\"estimate\":0,\"checkpoint\":0,\"save\":0,"
+        "\"submitted\":1000,\"owner\":\"c-1\",\"chunk\":16}",
+        "fk/l/t/run-9/00000", "{\"f\":0,\"n\":1,\"a\":2,\"b\":[[0,1,\"i-1\",\"c-0\"]]}", NULL};
+    if (cut_off == 2)
+      watched(r, service);
     gboolean marked = FALSE;
     for (guint step = 0; step < 60 && !marked; step++) {
       for (guint i = 0; i < south->len; i++)
         report_of(r, south->pdata[i], "south", 1 + step);
-      for (guint i = 1; !cut_off && i < north->len; i++)
-        report_of(r, north->pdata[i], "north", 1 + step);
+      for (guint i = cut_off == 2 ? 0 : 1; i < north->len; i++)
+        if (!cut_off || (cut_off == 2 && step < 20))
+          report_of(r, north->pdata[i], "north", 1 + step);
       tick(r, 0.5);
       for (guint i = 0; i < r->outs->len; i++) {
         FkOut *o = r->outs->pdata[i];
