The front door: all listeners on one poll set, requests read whole, a gate with limits

Need: a listen queue of 10 and one accept a turn lost connections after the second second of a crowd, an endless chunked body was kept (one client ended a controller), a declared length without a body was held for ever.

Change: src/door (state machine, no sockets): limits derived from the controller's sockets and memory, a gate that admits, orders and closes in constant time, a reader of requests on http-parser, and what can't be reached. src/io/door.c owns every listener: accepts all that waits, reads a request whole before libsoup sees it, refuses 413/431/414/408/503 at once and lets the refusal be read. libsoup gets streams without a descriptor in the main loop. Calls outwards have bounded answers and a time for each step.

--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -1,6 +1,7 @@
 /* What the platform and the operators tell a controller. Plain data; read by wire/settings.c. */
 #pragma once
 #include "core/types.h"
+#include "door/limits.h"
 
 typedef struct {
   char *name, *zone, *addr;
@@ -29,6 +30,7 @@
   double slack;         /* times a task's run time that must be left before its job is due */
   double spot_patience; /* share of its patience that a task waits before a spot machine is rented for it */
   double silent_s;      /* a machine not heard for so long is replaced; 0: derived from `report_s` */
+  FkDoorWishes door;    /* the front door; 0: derived from the controller's resources */
 } FkTuning;
 
 typedef struct {
--- /dev/null
+++ b/src/io/door.h
@@ -0,0 +1,32 @@
+/* The front door: every listener's sockets, on one poll set. It accepts all that waits in a turn, reads
+ * requests whole before anybody else sees them, refuses in the gate's name (door/gate.h), and hands what is
+ * complete to its handler as a stream that never blocks half-way through a request. */
+#pragma once
+#include <gio/gio.h>
+
+#include "door/gate.h"
+#include "door/request.h"
+
+typedef struct FkDoor FkDoor;
+
+typedef struct {
+  FkGuest guest; /* who comes to this listener, until a request says more */
+  /* What is asked, by method and path (cut short when long). */
+  FkAsk (*ask)(const char *method, const char *path);
+  /* The body of a refusal, to be freed, as JSON. */
+  char *(*refusal)(const char *why);
+  /* The first request of a connection is complete. The stream is the callee's to keep (it is not given a
+   * reference) and to read, answer and close; later requests come through it too. */
+  void (*serve)(gpointer data, GIOStream *stream, GSocketAddress *local, GSocketAddress *remote);
+  gpointer data;
+} FkDoorKeeper;
+
+/* Attached to the default main context. */
+FkDoor *fk_door_new(const FkDoorLimits *limits);
+/* Closes all. Streams that others still hold are at their end then. */
+void fk_door_free(FkDoor *d);
+/* `where`: an IP address and a port. */
+gboolean fk_door_listen(FkDoor *d, const char *where, const FkDoorKeeper *keeper, GError **error);
+/* Waits, and accepts what comes in the meantime: a pause between turns isn't at the cost of who knocks. */
+void fk_door_pause(FkDoor *d, gint64 us);
+const FkGate *fk_door_gate(const FkDoor *d);
--- a/src/io/http.c
+++ b/src/io/http.c
@@ -5,9 +5,16 @@
  * session for many hosts is given up after so many calls, and its hosts with it. */
 #define CALLS_A_SESSION 32
 
+/* A call that may wait long for an answer (a watch) still has to find the other end, and to read what it says
+ * once it speaks, in short times. */
+#define CONNECT_S 3.0
+#define BODY_S 3.0
+#define READ_BYTES 8192
+
 struct FkHttp {
   SoupSession *session;
   guint max_conns, max_conns_per_host, idle_s;
+  gsize max_answer;
   gboolean many;
   guint calls;     /* of this session */
   guint under_way; /* no more than max_conns */
@@ -21,6 +28,10 @@
   GCancellable *cancel;
   guint timer;
   double deadline_s;
+  gint64 begun_us;
+  GInputStream *stream; /* of the answer */
+  GByteArray *answer;
+  gsize had; /* bytes of it before the read under way */
   FkHttpDone done;
   gpointer data;
 } Call;
@@ -29,6 +40,9 @@
   g_object_unref(call->message);
   g_clear_object(&call->cancel);
   g_clear_object(&call->session);
+  g_clear_object(&call->stream);
+  if (call->answer)
+    g_byte_array_unref(call->answer);
   g_free(call);
 }
 
@@ -46,18 +60,19 @@
   open_session(h);
 }
 
-FkHttp *fk_http_new(guint max_conns, guint max_conns_per_host, guint idle_s) {
+FkHttp *fk_http_new(guint max_conns, guint max_conns_per_host, guint idle_s, gsize max_answer) {
   FkHttp *h = g_new0(FkHttp, 1);
   h->max_conns = max_conns;
   h->max_conns_per_host = max_conns_per_host;
   h->idle_s = idle_s;
+  h->max_answer = max_answer;
   g_queue_init(&h->waiting);
   open_session(h);
   return h;
 }
 
-FkHttp *fk_http_new_many(guint max_conns) {
-  FkHttp *h = fk_http_new(max_conns, 2, 1);
+FkHttp *fk_http_new_many(guint max_conns, gsize max_answer) {
+  FkHttp *h = fk_http_new(max_conns, 2, 1, max_answer);
   h->many = TRUE;
   return h;
 }
@@ -78,26 +93,92 @@
   return G_SOURCE_REMOVE;
 }
 
+/* From now on so many seconds, but never past the deadline of the whole. */
+static void allow(Call *call, double seconds) {
+  double left = call->deadline_s - (double)(g_get_monotonic_time() - call->begun_us) / 1e6;
+  g_clear_handle_id(&call->timer, g_source_remove);
+  call->timer = g_timeout_add((guint)(CLAMP(left, 0, seconds) * 1000), too_late, call);
+}
+
 static void begin(Call *call);
 
-static void finished(GObject *session, GAsyncResult *result, gpointer data) {
-  Call *call = data;
+static void finish(Call *call, guint status, const GError *error) {
   FkHttp *h = call->http;
-  g_autoptr(GError) error = NULL;
-  g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
-  gsize len = 0;
-  const char *body = bytes ? g_bytes_get_data(bytes, &len) : "";
-  guint status = bytes ? soup_message_get_status(call->message) : 0;
   if (error)
     g_debug("%s: %s", g_uri_get_path(soup_message_get_uri(call->message)), error->message);
   g_clear_handle_id(&call->timer, g_source_remove);
   h->under_way--;
-  call->done(call->data, status, body ? body : "", len);
+  const char *body = status && call->answer ? (const char *)call->answer->data : "";
+  call->done(call->data, status, body, status && call->answer ? call->answer->len : 0);
   call_free(call);
   while (h->under_way < h->max_conns && !g_queue_is_empty(&h->waiting))
     begin(g_queue_pop_head(&h->waiting));
 }
 
+/* What is too long isn't read on: cancelling closes the connection. */
+static void too_long(Call *call) {
+  GUri *uri = soup_message_get_uri(call->message);
+  g_warning("%s:%d%s: the answer is over %" G_GSIZE_FORMAT " bytes; it was thrown away", g_uri_get_host(uri),
+            g_uri_get_port(uri), g_uri_get_path(uri), call->http->max_answer);
+  g_cancellable_cancel(call->cancel);
+  finish(call, 0, NULL);
+}
+
+static void read_on(Call *call, gsize room);
+
+static void some_read(GObject *stream, GAsyncResult *result, gpointer data) {
+  Call *call = data;
+  g_autoptr(GError) error = NULL;
+  gssize n = g_input_stream_read_finish(G_INPUT_STREAM(stream), result, &error);
+  g_byte_array_set_size(call->answer, (guint)(call->had + (gsize)MAX(0, n)));
+  if (n < 0)
+    finish(call, 0, error);
+  else if (n == 0)
+    finish(call, soup_message_get_status(call->message), NULL);
+  else if (call->answer->len > call->http->max_answer)
+    too_long(call);
+  else
+    read_on(call, MAX(READ_BYTES,
+                      call->answer->len)); /* grows by half at the most: long ones aren't copied often */
+}
+
+static void read_on(Call *call, gsize room) {
+  call->had = call->answer->len;
+  room = MIN(room, call->http->max_answer + 1 - call->had);
+  g_byte_array_set_size(call->answer, (guint)(call->had + room));
+  g_input_stream_read_async(call->stream, call->answer->data + call->had, room, G_PRIORITY_DEFAULT,
+                            call->cancel, some_read, call);
+}
+
+static void head_came(GObject *session, GAsyncResult *result, gpointer data) {
+  Call *call = data;
+  g_autoptr(GError) error = NULL;
+  call->stream = soup_session_send_finish(SOUP_SESSION(session), result, &error);
+  if (!call->stream) {
+    finish(call, 0, error);
+    return;
+  }
+  SoupMessageHeaders *head = soup_message_get_response_headers(call->message);
+  gboolean known = soup_message_headers_get_encoding(head) == SOUP_ENCODING_CONTENT_LENGTH;
+  goffset length = known ? soup_message_headers_get_content_length(head) : 0;
+  if (length > (goffset)call->http->max_answer) {
+    too_long(call);
+    return;
+  }
+  if (call->deadline_s > BODY_S)
+    allow(call, BODY_S);
+  call->answer = g_byte_array_new();
+  read_on(call, known ? (gsize)length + 1 : READ_BYTES);
+}
+
+static void on_network(SoupMessage *message, GSocketClientEvent event, GIOStream *connection, gpointer data) {
+  Call *call = data;
+  if (event == G_SOCKET_CLIENT_CONNECTING)
+    allow(call, CONNECT_S);
+  else if (event == G_SOCKET_CLIENT_CONNECTED)
+    allow(call, call->deadline_s);
+}
+
 static void begin(Call *call) {
   FkHttp *h = call->http;
   h->under_way++;
@@ -105,9 +186,11 @@
     renew_session(h);
   call->session = g_object_ref(h->session);
   call->cancel = g_cancellable_new();
+  call->begun_us = g_get_monotonic_time();
   call->timer = g_timeout_add((guint)(call->deadline_s * 1000), too_late, call);
-  soup_session_send_and_read_async(h->session, call->message, G_PRIORITY_DEFAULT, call->cancel, finished,
-                                   call);
+  if (call->deadline_s > CONNECT_S)
+    g_signal_connect(call->message, "network-event", G_CALLBACK(on_network), call);
+  soup_session_send_async(h->session, call->message, G_PRIORITY_DEFAULT, call->cancel, head_came, call);
 }
 
 void fk_http_call(FkHttp *h, const char *method, const char *addr, const char *path, const char *body,
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -1,15 +1,16 @@
-/* HTTP clients on libsoup: every call has a deadline, no proxy and no name look-up. */
+/* HTTP clients on libsoup: every call has a deadline, and a time for each of its steps; no answer is kept
+ * that is longer than allowed; no proxy and no name look-up. */
 #pragma once
 #include <libsoup/soup.h>
 
 typedef struct FkHttp FkHttp;
-/* `status` is 0 when there was no answer. `sent` is FALSE when it is certain that nothing went out. */
+/* `status` is 0 when there was no answer, or one that was too long or too slow to be read. */
 typedef void (*FkHttpDone)(gpointer data, guint status, const char *body, gsize len);
 
 /* For a few hosts: connections not used for `idle_s` are closed. */
-FkHttp *fk_http_new(guint max_conns, guint max_conns_per_host, guint idle_s);
+FkHttp *fk_http_new(guint max_conns, guint max_conns_per_host, guint idle_s, gsize max_answer);
 /* For many hosts, each called now and then: a connection for each call. */
-FkHttp *fk_http_new_many(guint max_conns);
+FkHttp *fk_http_new_many(guint max_conns, gsize max_answer);
 void fk_http_free(FkHttp *h);
 /* `body` NULL: no body. */
 void fk_http_call(FkHttp *h, const char *method, const char *addr, const char *path, const char *body,
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -2,17 +2,19 @@
 
 #include <string.h>
 
+#include "door/reach.h"
 #include "io/budget.h"
+#include "io/door.h"
 #include "io/http.h"
 #include "io/vitals.h"
 #include "wire/cloud.h"
+#include "wire/route.h"
 #include "wire/store.h"
 #include "wire/user.h"
 #include "wire/worker.h"
 
 #define TICK_MS 100
 #define STORE_DEADLINE_S 2.0
-#define BODY_MAX 65536
 #define AGAIN_MAX 6 /* times that a request over the store's budget is sent again */
 #define LEND 1.2    /* a controller may use somewhat more than its share: not all need theirs at once ... */
 #define LEND_WRITES 1.0 /* ... but what users wait for must find room */
@@ -20,7 +22,11 @@
 struct FkShell {
   const FkSettings *settings;
   FkController *core;
-  SoupServer *server, *mesh;
+  FkDoor *door;
+  SoupServer *server, *mesh; /* they listen nowhere: the door hands them what is complete */
+  FkReach *reach;
+  guint reach_store, reach_cloud;
+  GHashTable *reach_peers; /* name -> number */
   FkHttp *store, *workers, *cloud, *peers;
   FkBudget *store_budget, *cloud_budget;
   GHashTable *requests; /* number -> SoupServerMessage: those that wait */
@@ -98,6 +104,23 @@
   }
 }
 
+static void reached(FkShell *s, guint system, guint status) {
+  const char *why = status == 0 ? "no answer" : status == 503 ? "it answers 503" : NULL;
+  fk_reach_note(s->reach, system, why, g_get_monotonic_time());
+}
+
+static void say_reach(FkShell *s) {
+  gboolean bad;
+  char *text;
+  while ((text = fk_reach_say(s->reach, g_get_monotonic_time(), &bad))) {
+    if (bad)
+      g_warning("%s", text);
+    else
+      g_message("%s", text);
+    g_free(text);
+  }
+}
+
 static void store_done(gpointer data, guint status, const char *body, gsize len) {
   Sent *sent = data;
   FkShell *s = sent->shell;
@@ -167,6 +190,13 @@
   drain(s);
 }
 
+/* What comes from outside says whether there is anybody; what we shed ourselves doesn't. */
+static void store_answered(gpointer data, guint status, const char *body, gsize len) {
+  FkShell *s = ((Sent *)data)->shell;
+  reached(s, s->reach_store, status);
+  store_done(data, status, body, len);
+}
+
 static Sent *sent_new(FkShell *s, FkOut *o) {
   Sent *sent = g_new0(Sent, 1);
   *sent = (Sent){s, o, now()};
@@ -216,7 +246,7 @@
     path = g_strdup_printf("/holds/%" G_GUINT64_FORMAT "/renew", o->rev.n);
     body = g_strdup("{}");
   }
-  fk_http_call(s->store, method, s->settings->state, path, body, deadline, store_done, sent_new(s, o));
+  fk_http_call(s->store, method, s->settings->state, path, body, deadline, store_answered, sent_new(s, o));
 }
 
 static gboolean shed_later(gpointer data) {
@@ -255,6 +285,9 @@
   FkShell *s = sent->shell;
   g_autoptr(cJSON) o = status == 200 ? fk_json_parse(body, len) : NULL;
   FkRev seen;
+  gpointer number;
+  if (g_hash_table_lookup_extended(s->reach_peers, sent->out->name, NULL, &number))
+    reached(s, GPOINTER_TO_UINT(number), status);
   if (o && fk_json_str(o, "life") && fk_json_u64(o, "seen", &seen.n))
     fk_controller_peer(s->core, now(), sent->out->name, fk_json_str(o, "life"), seen,
                        fk_json_num_or(o, "store_age_s", 1e6), sent->sent);
@@ -318,6 +351,12 @@
   drain(s);
 }
 
+static void cloud_answered(gpointer data, guint status, const char *body, gsize len) {
+  FkShell *s = ((Sent *)data)->shell;
+  reached(s, s->reach_cloud, status == 503 && fk_cloud_no_capacity(body, len) ? 200 : status);
+  cloud_done(data, status, body, len);
+}
+
 static void cloud_send(gpointer data, gpointer item) {
   FkShell *s = data;
   FkOut *o = item;
@@ -341,7 +380,7 @@
     path = g_strdup("/machines/return");
     body = fk_cloud_print_return(o);
   }
-  fk_http_call(s->cloud, method, s->settings->cloud, path, body, 4, cloud_done, sent_new(s, o));
+  fk_http_call(s->cloud, method, s->settings->cloud, path, body, 4, cloud_answered, sent_new(s, o));
 }
 
 static gboolean cloud_shed_later(gpointer data) {
@@ -433,21 +472,12 @@
   respond(msg, status, fk_user_print_error(why), 0);
 }
 
-static void on_early(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
-                     gpointer data) {
-  SoupMessageHeaders *h = soup_server_message_get_request_headers(msg);
-  if (soup_message_headers_get_content_length(h) > BODY_MAX) {
-    refuse(msg, 400, "the body is over 64 KiB");
-    soup_message_headers_replace(soup_server_message_get_response_headers(msg), "Connection", "close");
-  }
-}
-
 static void on_submit(FkShell *s, SoupServerMessage *msg, const char *body, gsize len) {
   const char *why = NULL;
   FkCost before = begin(s, FK_COST_USERS);
-  FkSpec *spec = len > BODY_MAX ? NULL : fk_user_parse_submission(body, len, &why);
+  FkSpec *spec = fk_user_parse_submission(body, len, &why);
   if (!spec) {
-    g_autofree char *text = g_strdup_printf("malformed: %s", why ? why : "too long");
+    g_autofree char *text = g_strdup_printf("malformed: %s", why);
     refuse(msg, 400, text);
   } else {
     FkRequest r = open_request(s, msg);
@@ -471,61 +501,92 @@
   settle_request(s);
 }
 
-static void on_job(FkShell *s, SoupServerMessage *msg, const char *rest, gboolean get, gboolean post) {
-  g_auto(GStrv) parts = g_strsplit(rest, "/", 3);
-  guint n = g_strv_length(parts);
-  gboolean withdraw = n == 2 && g_str_equal(parts[1], "withdraw");
-  if (n < 1 || n > 2 || (n == 2 && !withdraw)) {
-    refuse(msg, 404, "no such path");
-  } else if (withdraw ? !post : !get) {
-    refuse(msg, 405, "wrong method");
-  } else if (!fk_user_valid_id(parts[0])) {
+static void on_job(FkShell *s, SoupServerMessage *msg, FkRoute route, const char *job, gsize len) {
+  g_autofree char *id = g_strndup(job, len);
+  if (!fk_user_valid_id(id)) {
     refuse(msg, 404, "no such job");
-  } else {
-    FkCost before = begin(s, FK_COST_USERS);
-    FkRequest r = open_request(s, msg);
-    if (withdraw)
-      fk_controller_cancel(s->core, now(), r, parts[0]);
-    else
-      fk_controller_get(s->core, now(), r, parts[0]);
-    end(s, before);
-    settle_request(s);
+    return;
   }
+  FkCost before = begin(s, FK_COST_USERS);
+  FkRequest r = open_request(s, msg);
+  if (route == FK_ROUTE_CANCEL)
+    fk_controller_cancel(s->core, now(), r, id);
+  else
+    fk_controller_get(s->core, now(), r, id);
+  end(s, before);
+  settle_request(s);
 }
 
 static void on_request(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
                        gpointer data) {
   FkShell *s = data;
-  if (soup_server_message_get_status(msg))
-    return; /* refused early */
-  const char *method = soup_server_message_get_method(msg);
-  gboolean get = g_str_equal(method, "GET"), post = g_str_equal(method, "POST");
   SoupMessageBody *request = soup_server_message_get_request_body(msg);
-  const char *body = request->data ? request->data : "";
-  gsize len = (gsize)request->length;
-  if (g_str_equal(path, "/up")) {
+  const char *body = request->data ? request->data : "", *job = NULL;
+  gsize len = (gsize)request->length, job_len = 0;
+  FkRoute route = fk_route(soup_server_message_get_method(msg), path, &job, &job_len);
+  switch (route) {
+  case FK_ROUTE_UP: {
     gboolean up = fk_controller_up(s->core, now());
-    if (!get)
-      refuse(msg, 405, "wrong method");
-    else
-      respond(msg, up ? 200 : 503, g_strdup(up ? "{\"up\":true}" : "{\"up\":false}"), up ? 0 : 1);
-  } else if (g_str_equal(path, "/hello")) {
-    if (post)
-      on_hello(s, msg, body, len);
-    else
-      refuse(msg, 405, "wrong method");
-  } else if (g_str_equal(path, "/submissions")) {
-    if (post)
-      on_submit(s, msg, body, len);
-    else
-      refuse(msg, 405, "wrong method");
-  } else if (g_str_has_prefix(path, "/submissions/")) {
-    on_job(s, msg, path + strlen("/submissions/"), get, post);
-  } else {
+    respond(msg, up ? 200 : 503, g_strdup(up ? "{\"up\":true}" : "{\"up\":false}"), up ? 0 : 1);
+    break;
+  }
+  case FK_ROUTE_REPORT:
+    on_hello(s, msg, body, len);
+    break;
+  case FK_ROUTE_SUBMIT:
+    on_submit(s, msg, body, len);
+    break;
+  case FK_ROUTE_POLL:
+  case FK_ROUTE_CANCEL:
+    on_job(s, msg, route, job, job_len);
+    break;
+  case FK_ROUTE_METHOD:
+    refuse(msg, 405, "wrong method");
+    break;
+  default:
     refuse(msg, 404, "no such path");
   }
 }
 
+/* ------------------------------------------------------------------ the door */
+
+static FkAsk asked(const char *method, const char *path) {
+  return fk_route_ask(fk_route(method, path, NULL, NULL));
+}
+
+static FkAsk peer_asked(const char *method, const char *path) { return FK_ASK_PEER; }
+
+static void hand_over(gpointer data, GIOStream *stream, GSocketAddress *local, GSocketAddress *remote) {
+  g_autoptr(GError) error = NULL;
+  if (!soup_server_accept_iostream(data, stream, local, remote, &error))
+    g_warning("door: %s", error->message);
+}
+
+static gboolean open_door(FkShell *s, GError **error) {
+  const FkSettings *set = s->settings;
+  const FkDoorKeeper public = {FK_GUEST_OUTSIDER, asked, fk_user_print_error, hand_over, s->server},
+                     mesh = {FK_GUEST_PEER, peer_asked, fk_user_print_error, hand_over, s->mesh};
+  return fk_door_listen(s->door, set->listen, &public, error) &&
+         fk_door_listen(s->door, set->mesh, &mesh, error);
+}
+
+static void watch_reach(FkShell *s) {
+  s->reach = fk_reach_new((gint64)(s->settings->tuning.window_s * 1e6));
+  g_autofree char *store = g_strdup_printf("the store at %s", s->settings->state),
+                  *cloud = g_strdup_printf("the cloud at %s", s->settings->cloud);
+  s->reach_store = fk_reach_add(
+      s->reach, store, "nothing is accepted, started or ended; what runs goes on while all controllers do");
+  s->reach_cloud = fk_reach_add(s->reach, cloud, "no machine is rented or returned");
+  s->reach_peers = g_hash_table_new(g_str_hash, g_str_equal);
+  for (guint i = 0; i < s->settings->peers->len; i++) {
+    const FkPeer *p = s->settings->peers->pdata[i];
+    g_autofree char *name = g_strdup_printf("controller %s at %s", p->name, p->addr);
+    guint number =
+        fk_reach_add(s->reach, name, "it can't vouch for what we know: without the store, leases run out");
+    g_hash_table_insert(s->reach_peers, p->name, GUINT_TO_POINTER(number));
+  }
+}
+
 static gboolean on_tick(gpointer data) {
   FkShell *s = data;
   gint64 t = g_get_monotonic_time();
@@ -534,6 +595,7 @@
   s->last_tick = t;
   fk_controller_room(s->core, fk_budget_room(s->store_budget, FK_PRIO_LAUNCH));
   fk_controller_tick(s->core, now(), g_get_real_time());
+  say_reach(s);
   double share = fk_controller_share(s->core), writes = fk_controller_write_share(s->core);
   fk_budget_rates(s->store_budget, MIN(1, LEND * share) * s->settings->state_rps,
                   MIN(1, LEND_WRITES * writes) * s->settings->state_write_rps);
@@ -541,17 +603,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-static gboolean listen_on(SoupServer *server, const char *where, GError **error) {
-  const char *colon = strrchr(where, ':');
-  g_autofree char *host = g_strndup(where, colon - where);
-  g_autoptr(GSocketAddress) addr =
-      g_inet_socket_address_new_from_string(host, (guint)g_ascii_strtoull(colon + 1, NULL, 10));
-  if (soup_server_listen(server, addr, 0, error))
-    return TRUE;
-  g_prefix_error(error, "%s: ", where);
-  return FALSE;
-}
-
 FkShell *fk_shell_new(const FkSettings *settings, GError **error) {
   FkShell *s = g_new0(FkShell, 1);
   s->settings = settings;
@@ -563,19 +614,22 @@
   s->vitals = fk_vitals_new(settings->tuning.window_s);
   fk_meter_start(fk_controller_meter(s->core), fk_vitals_clock_ns);
   s->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_object_unref);
-  s->store = fk_http_new(32, 32, 60);
-  s->workers = fk_http_new_many(400);
-  s->cloud = fk_http_new(4, 4, 60);
+  const FkDoorMeans means = {settings->sockets, settings->ram_mb, settings->peers->len};
+  const FkDoorLimits l = fk_door_limits(&means, &settings->tuning.door);
+  s->store = fk_http_new(l.store_calls, l.store_calls, 60, l.store_answer);
+  s->workers = fk_http_new_many(l.worker_calls, l.answer);
+  s->cloud = fk_http_new(l.cloud_calls, l.cloud_calls, 60, l.answer);
+  s->peers = fk_http_new(l.peer_calls, 2, 60, l.answer);
+  watch_reach(s);
   s->store_budget = fk_budget_new(settings->state_rps * 0.5, settings->state_write_rps * 0.5, 0.8,
                                   FK_PRIO_RESULT + 1, FK_PRIO_USER + 1, 2000, store_send, store_shed, s);
   s->cloud_budget = fk_budget_new(settings->cloud_rps * 0.7, 1, 1.0, 2, 0, 50, cloud_send, cloud_shed, s);
   s->server = soup_server_new("server-header", "flaxknot", NULL);
-  soup_server_add_early_handler(s->server, NULL, on_early, s, NULL);
   soup_server_add_handler(s->server, NULL, on_request, s, NULL);
-  s->peers = fk_http_new(8, 2, 60);
   s->mesh = soup_server_new("server-header", "flaxknot", NULL);
   soup_server_add_handler(s->mesh, NULL, on_mesh, s, NULL);
-  if (!listen_on(s->server, settings->listen, error) || !listen_on(s->mesh, settings->mesh, error)) {
+  s->door = fk_door_new(&l);
+  if (!open_door(s, error)) {
     fk_shell_free(s);
     return NULL;
   }
@@ -588,14 +642,14 @@
 
 static FkShell *turning; /* a poll function has no argument of its own */
 
-/* A turn of the main loop looks at every open connection, hundreds of them. A short pause before each wait
- * lets what comes in the meantime share one turn. */
+/* A turn of the main loop looks at every source, hundreds of them. A short pause before each wait lets what
+ * comes in the meantime share one turn; who knocks at the door is let in during it. */
 static gint gather_then_poll(GPollFD *fds, guint n, gint timeout) {
   FkMeter *meter = fk_controller_meter(turning->core);
   FkCost before = begin(turning, FK_COST_IDLE);
   fk_vitals_turn_ends(turning->vitals, meter->last_ns, n);
   if (timeout != 0)
-    g_usleep(timeout > 0 ? MIN(GATHER_US, timeout * 1000) : GATHER_US);
+    fk_door_pause(turning->door, timeout > 0 ? MIN(GATHER_US, timeout * 1000) : GATHER_US);
   gint ready = g_poll(fds, n, timeout > 0 ? MAX(0, timeout - GATHER_US / 1000) : timeout);
   end(turning, before);
   fk_vitals_turn_begins(turning->vitals, meter->last_ns);
@@ -617,6 +671,9 @@
   g_object_unref(s->server);
   soup_server_disconnect(s->mesh);
   g_object_unref(s->mesh);
+  fk_door_free(s->door);
+  fk_reach_free(s->reach);
+  g_hash_table_unref(s->reach_peers);
   fk_http_free(s->peers);
   fk_http_free(s->store);
   fk_http_free(s->workers);
--- a/src/wire/settings.c
+++ b/src/wire/settings.c
@@ -137,6 +137,12 @@
     {"slack", offsetof(FkTuning, slack), 0, 100},
     {"spot_patience", offsetof(FkTuning, spot_patience), 0, 1},
     {"silent_s", offsetof(FkTuning, silent_s), 2, 600},
+    {"door_connections", offsetof(FkTuning, door.connections), 2, 100000},
+    {"door_head_s", offsetof(FkTuning, door.head_s), 0.1, 600},
+    {"door_body_s", offsetof(FkTuning, door.body_s), 0.1, 600},
+    {"door_idle_s", offsetof(FkTuning, door.idle_s), 0.1, 3600},
+    {"door_send_s", offsetof(FkTuning, door.send_s), 0.1, 600},
+    {"door_memory_mb", offsetof(FkTuning, door.memory_mb), 0.5, 100000},
 };
 
 const FkTuningField *fk_tuning_fields(guint *n) {
