--- a/src/door/gate.c
+++ b/src/door/gate.c
@@ -384,6 +384,33 @@
 guint64 fk_gate_shut(const FkGate *g, FkShut why) { return g->shut[why]; }
 guint64 fk_gate_entered(const FkGate *g) { return g->entered; }
 
+char *fk_gate_words(const FkGate *g, FkGateTally *last, gboolean *bad) {
+  static const char *const names[FK_SHUTS] = {
+      [FK_SHUT_TIME] = "too slow",          [FK_SHUT_CROWD] = "closed for others",
+      [FK_SHUT_BUSY] = "too many requests", [FK_SHUT_MEMORY] = "memory",
+      [FK_SHUT_BAD] = "no request",         [FK_SHUT_DONE] = "sent on and on"};
+  const guint *most = g->limits.guests;
+  g_autoptr(GString) text = g_string_new("");
+  g_string_append_printf(text,
+                         "door: %" G_GUINT64_FORMAT
+                         " came; open: %u/%u users and unknown, %u/%u workers, %u/%u checks, %u/%u peers, "
+                         "of %u addresses; %u/%u requests under way, %" G_GSIZE_FORMAT "/%" G_GSIZE_FORMAT
+                         " kB held",
+                         g->entered - last->entered, g->guests[0], most[0], g->guests[1], most[1],
+                         g->guests[2], most[2], g->guests[3], most[3], fk_gate_parties(g), g->requests,
+                         g->limits.requests, g->held / 1024, g->limits.held / 1024);
+  *bad = FALSE;
+  for (guint i = 0; i < FK_SHUTS; i++) {
+    guint64 n = g->shut[i] - last->shut[i];
+    if (n)
+      g_string_append_printf(text, "; %s: %" G_GUINT64_FORMAT, names[i], n);
+    *bad |= n && i != FK_SHUT_TIME && i != FK_SHUT_DONE;
+    last->shut[i] = g->shut[i];
+  }
+  last->entered = g->entered;
+  return g_string_free(g_steal_pointer(&text), FALSE);
+}
+
 void fk_gate_check(const FkGate *g) {
   guint guests[FK_GUESTS] = {0}, requests = 0, asking = 0, holding = 0, all = 0, largest = 0;
   gsize held = 0;
--- a/src/door/gate.h
+++ b/src/door/gate.h
@@ -85,5 +85,11 @@
 guint fk_gate_parties(const FkGate *g);
 guint64 fk_gate_shut(const FkGate *g, FkShut why); /* since the start */
 guint64 fk_gate_entered(const FkGate *g);
+/* What the door did since `last` was taken, in words, to be freed; `last` is brought up to date. `bad`:
+ * somebody was refused or closed for want of room, or sent what is no request. */
+typedef struct {
+  guint64 entered, shut[FK_SHUTS];
+} FkGateTally;
+char *fk_gate_words(const FkGate *g, FkGateTally *last, gboolean *bad);
 /* For tests: aborts unless every count is the sum of its parts. */
 void fk_gate_check(const FkGate *g);
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -1,6 +1,7 @@
 #include "io/shell.h"
 
 #include <string.h>
+#include <sys/resource.h>
 
 #include "door/reach.h"
 #include "io/budget.h"
@@ -27,6 +28,8 @@
   FkReach *reach;
   guint reach_store, reach_cloud;
   GHashTable *reach_peers; /* name -> number */
+  FkGateTally door_tally;
+  gint64 door_said; /* us */
   FkHttp *store, *workers, *cloud, *peers;
   FkBudget *store_budget, *cloud_budget;
   GHashTable *requests; /* number -> SoupServerMessage: those that wait */
@@ -580,12 +583,26 @@
   }
 }
 
+/* Once a window; a warning when somebody was turned away. */
+static void say_door(FkShell *s, gint64 now_us) {
+  if (now_us < s->door_said + (gint64)(s->settings->tuning.window_s * 1e6))
+    return;
+  gboolean bad;
+  g_autofree char *words = fk_gate_words(fk_door_gate(s->door), &s->door_tally, &bad);
+  s->door_said = now_us;
+  if (bad)
+    g_warning("%s", words);
+  else
+    g_info("%s", words);
+}
+
 static gboolean on_tick(gpointer data) {
   FkShell *s = data;
   gint64 t = g_get_monotonic_time();
   if (s->last_tick)
     fk_vitals_tick(s->vitals, (double)(t - s->last_tick) / 1e6 - TICK_MS / 1e3);
   s->last_tick = t;
+  say_door(s, t);
   fk_controller_room(s->core, fk_budget_room(s->store_budget, FK_PRIO_LAUNCH));
   fk_controller_tick(s->core, now(), g_get_real_time());
   say_reach(s);
@@ -596,6 +613,24 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* How many descriptors the process may have: as many as sockets, where the system lets us. A limit that is
+ * lower would be met by accepts and calls that fail. */
+static double descriptors(rlim_t wanted) {
+  struct rlimit r;
+  if (getrlimit(RLIMIT_NOFILE, &r) < 0)
+    return (double)wanted;
+  if (r.rlim_cur < wanted) {
+    rlim_t had = r.rlim_cur;
+    r.rlim_cur = MIN(wanted, r.rlim_max);
+    if (setrlimit(RLIMIT_NOFILE, &r) < 0)
+      r.rlim_cur = had;
+    if (r.rlim_cur < wanted)
+      g_warning("door: the system allows %.0f descriptors, the settings %.0f sockets", (double)r.rlim_cur,
+                (double)wanted);
+  }
+  return (double)r.rlim_cur;
+}
+
 FkShell *fk_shell_new(const FkSettings *settings, GError **error) {
   FkShell *s = g_new0(FkShell, 1);
   s->settings = settings;
@@ -607,7 +642,8 @@
   s->vitals = fk_vitals_new(settings->tuning.window_s);
   fk_meter_start(fk_controller_meter(s->core), fk_vitals_clock_ns);
   s->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_object_unref);
-  const FkDoorMeans means = {settings->sockets, settings->ram_mb, settings->peers->len};
+  const FkDoorMeans means = {MIN(settings->sockets, descriptors((rlim_t)settings->sockets)), settings->ram_mb,
+                             settings->peers->len};
   const FkDoorLimits l = fk_door_limits(&means, &settings->tuning.door);
   s->store = fk_http_new(l.store_calls, l.store_calls, 60, l.store_answer);
   s->workers = fk_http_new_many(l.worker_calls, l.answer);
