Complete requests go to their handlers in the order of the door, a part of each kind a turn

Need: after a crash of all, hundreds of requests are complete at once; a turn with all of them takes a second or two, in which health checks and reports wait behind submissions.

Change: each turn releases health checks and peers, then at most 32 reports, 16 cancellations, 16 polls, 16 submissions; the next turn follows at once. Nothing is held back when there is nothing else to do. Test: /sockets/order (a health check and a report that came after 100 submissions are served first).

--- a/src/io/door.c
+++ b/src/io/door.c
@@ -14,6 +14,14 @@
 #define ANSWER_BYTES 65536  /* of an answer, kept before its handler has to wait */
 #define THROWN_AWAY 1048576 /* of what comes after a refusal */
 #define EVENTS 256
+/* How many complete requests of each kind go to their handlers in one turn, the first kinds first. In the
+ * usual course that is all of them. After a crash of all, hundreds come at once, and a turn with all of them
+ * would be a second or two: health checks and reports that come meanwhile would wait for submissions. Every
+ * kind has some, so that none waits for ever. */
+static const guint a_turn[FK_ASKS] = {
+    [FK_ASK_HEALTH] = G_MAXUINT, [FK_ASK_PEER] = G_MAXUINT, [FK_ASK_REPORT] = 32, [FK_ASK_CANCEL] = 16,
+    [FK_ASK_POLL] = 16,          [FK_ASK_SUBMIT] = 16,      [FK_ASK_OTHER] = 8};
+
 #define CONTINUE "HTTP/1.1 100 Continue\r\n\r\n"
 
 typedef struct {
@@ -41,6 +49,7 @@
   gsize sent;
   gboolean readable, writable, half, gone; /* half: the other end won't send any more */
   gboolean continued, answering, dirty;
+  gboolean released;       /* the request that is complete was given to its handler */
   gboolean served, closed; /* has a stream; the stream was closed */
 };
 
@@ -49,10 +58,11 @@
   FkGate *gate;
   GPollFD epoll;
   GPtrArray *listeners;
-  GQueue fresh;      /* FkConn: their first request is complete; each holds a reference */
-  GPtrArray *dirty;  /* FkConn: to be sent at the end of the turn; each holds a reference */
-  GHashTable *conns; /* FkConn that have a place; each holds a reference */
-  gboolean stalled;  /* no descriptor was left for who waits to be accepted */
+  GQueue ready[FK_ASKS]; /* FkConn: a request is complete, by what it asks; each holds a reference */
+  GQueue fresh;          /* FkConn: released, and without a stream so far; each holds a reference */
+  GPtrArray *dirty;      /* FkConn: to be sent at the end of the turn; each holds a reference */
+  GHashTable *conns;     /* FkConn that have a place; each holds a reference */
+  gboolean stalled;      /* no descriptor was left for who waits to be accepted */
   gint64 stalled_us;
   guint8 scratch[READ_BYTES];
 };
@@ -92,8 +102,8 @@
   g_hash_table_remove(c->door->conns, c);
 }
 
-/* The socket goes. A request under way keeps its place until its handler lets go of it: what it costs isn't
- * over because nobody waits for the answer. */
+/* The socket goes. A request that its handler has keeps its place until its handler lets go of it: what it
+ * costs isn't over because nobody waits for the answer. */
 static void close_now(FkConn *c) {
   if (c->fd < 0)
     return;
@@ -104,7 +114,7 @@
   if (!c->door) /* the door was freed first */
     return;
   c->door->stalled = FALSE;
-  if (!c->served || c->closed || c->slot.stage != FK_STAGE_SERVED)
+  if (!c->released || c->closed || c->slot.stage != FK_STAGE_SERVED)
     forget(c);
 }
 
@@ -182,14 +192,37 @@
 static void request_complete(FkConn *c) {
   c->whole = c->fed;
   c->taken = 0;
-  c->answering = FALSE;
+  c->answering = c->released = FALSE;
   fk_gate_served(c->door->gate, &c->slot, now_us());
-  if (!c->served) {
-    c->served = TRUE;
-    g_queue_push_tail(&c->door->fresh, fk_conn_ref(c));
+  g_queue_push_tail(&c->door->ready[c->slot.ask], fk_conn_ref(c));
+}
+
+static void release(FkDoor *d) {
+  for (guint ask = 0; ask < FK_ASKS; ask++) {
+    FkConn *c;
+    for (guint n = 0; n < a_turn[ask] && (c = g_queue_pop_head(&d->ready[ask])); n++) {
+      if (c->slot.stage != FK_STAGE_SERVED || c->released) {
+        fk_conn_unref(c); /* gone while it waited */
+        continue;
+      }
+      c->released = TRUE;
+      if (c->served) {
+        fk_conn_unref(c);
+      } else {
+        c->served = TRUE;
+        g_queue_push_tail(&d->fresh, c);
+      }
+    }
   }
 }
 
+static gboolean any_ready(const FkDoor *d) {
+  for (guint ask = 0; ask < FK_ASKS; ask++)
+    if (d->ready[ask].length)
+      return TRUE;
+  return FALSE;
+}
+
 /* What has come and was not looked at goes through the reader, up to the end of a request. */
 static void feed(FkConn *c) {
   FkDoor *d = c->door;
@@ -298,7 +331,7 @@
     if (c->in)
       g_byte_array_remove_range(c->in, 0, (guint)c->whole);
     c->whole = c->taken = c->fed = 0;
-    c->continued = c->answering = FALSE;
+    c->continued = c->answering = c->released = FALSE;
     fk_reader_init(&c->reader);
     if (c->in && !c->in->len)
       drop_in(c);
@@ -328,7 +361,7 @@
 
 /* ------------------------------------------------------------------ the handler's side */
 
-gboolean fk_conn_can_read(const FkConn *c) { return c->gone || c->taken < c->whole; }
+gboolean fk_conn_can_read(const FkConn *c) { return c->gone || (c->released && c->taken < c->whole); }
 
 gboolean fk_conn_can_write(const FkConn *c) {
   return c->fd < 0 || c->gone || !c->out || c->out->len - c->sent < ANSWER_BYTES;
@@ -342,7 +375,7 @@
 
 gssize fk_conn_read(FkConn *c, void *to, gsize len) {
   fk_conn_wants(c);
-  if (c->taken < c->whole) {
+  if (c->released && c->taken < c->whole) {
     gsize n = MIN(len, c->whole - c->taken);
     memcpy(to, c->in->data + c->taken, n);
     c->taken += n;
@@ -350,7 +383,7 @@
   }
   /* one that wants more of a request that is complete reads another request than we did: no good can come
    * of it */
-  if (c->gone || (c->slot.stage == FK_STAGE_SERVED && !c->answering))
+  if (c->gone || (c->released && !c->answering))
     return 0;
   return FK_CONN_LATER;
 }
@@ -483,9 +516,9 @@
 static gboolean door_prepare(GSource *source, gint *timeout) {
   FkDoor *d = (FkDoor *)source;
   send_dirty(d);
-  if (!g_queue_is_empty(&d->fresh)) {
-    *timeout = 0;
-    return TRUE;
+  if (any_ready(d)) {
+    *timeout = 0; /* but first look who else has come */
+    return FALSE;
   }
   gint64 wakes = fk_gate_wakes(d->gate);
   if (d->stalled)
@@ -510,6 +543,7 @@
     collect(d);
   else if (fk_gate_wakes(d->gate) <= now_us())
     settle(d);
+  release(d);
   return !g_queue_is_empty(&d->fresh);
 }
 
@@ -559,9 +593,9 @@
     return;
   send_dirty(d);
   g_source_destroy(&d->source);
-  FkConn *c;
-  while ((c = g_queue_pop_head(&d->fresh)))
-    fk_conn_unref(c);
+  g_queue_clear_full(&d->fresh, (GDestroyNotify)fk_conn_unref);
+  for (guint ask = 0; ask < FK_ASKS; ask++)
+    g_queue_clear_full(&d->ready[ask], (GDestroyNotify)fk_conn_unref);
   GHashTableIter it;
   gpointer key;
   g_hash_table_iter_init(&it, d->conns);
--- a/test/test_door.c
+++ b/test/test_door.c
@@ -26,6 +26,7 @@
   GQueue held; /* SoupServerMessage: submissions that wait for their answer */
   guint served, aborted;
   guint16 port;
+  GString *order; /* what was served, a letter each, when a test wants it */
 } Service;
 
 static void reply(SoupServerMessage *msg, guint status, const char *text) {
@@ -37,6 +38,11 @@
                        gpointer data) {
   Service *s = data;
   s->served++;
+  if (s->order)
+    g_string_append_c(s->order, g_str_equal(path, "/up")            ? 'u'
+                                : g_str_equal(path, "/hello")       ? 'h'
+                                : g_str_equal(path, "/submissions") ? 's'
+                                                                    : 'p');
   if (g_str_equal(path, "/submissions")) {
     soup_server_message_pause(msg);
     g_queue_push_tail(&s->held, g_object_ref(msg));
@@ -468,6 +474,41 @@
   close_service(s);
 }
 
+/* A crowd whose requests are all there at once: health check and report first, whenever they came; every kind
+ * has its part of each turn, and the later ones of a kind don't pass the earlier. */
+static void test_order(void) {
+  FkDoorLimits l = limits();
+  Service *s = open_service(&l);
+  g_autoptr(GString) order = g_string_new("");
+  s->order = order;
+  int fds[103];
+  static const struct {
+    guint at;
+    const char *text;
+  } others[] = {{90, POLL}, {101, HELLO}, {102, UP}};
+  for (guint i = 0; i < G_N_ELEMENTS(fds); i++)
+    fds[i] = dial(s);
+  for (guint i = 0; i < G_N_ELEMENTS(fds); i++) { /* no turn in between */
+    const char *text = SUBMIT;
+    for (guint k = 0; k < G_N_ELEMENTS(others); k++)
+      text = others[k].at == i ? others[k].text : text;
+    g_assert_cmpint(send(fds[i], text, strlen(text), MSG_NOSIGNAL), ==, (gssize)strlen(text));
+  }
+  while (s->served < G_N_ELEMENTS(fds))
+    turn();
+  g_autofree char *rest = g_strnfill(100, 's');
+  g_autofree char *expected = g_strdup_printf("uhp%s", rest);
+  g_assert_cmpstr(order->str, ==, expected);
+  answer_held(s);
+  for (guint i = 0; i < G_N_ELEMENTS(fds); i++) {
+    guint n = 1;
+    g_autofree char *text = hear(fds[i], &n);
+    g_assert_cmpuint(n, ==, 1);
+    close(fds[i]);
+  }
+  close_service(s);
+}
+
 /* Half bodies from many connections: what is held stays within the bound, and a report still fits. */
 static void test_half_bodies(void) {
   FkDoorLimits l = limits();
@@ -674,6 +715,7 @@
   g_test_add_func("/sockets/reads_not", test_reads_not);
   g_test_add_func("/sockets/used_up", test_used_up);
   g_test_add_func("/sockets/under_way", test_under_way);
+  g_test_add_func("/sockets/order", test_order);
   g_test_add_func("/sockets/half_bodies", test_half_bodies);
   g_test_add_func("/sockets/random", test_random);
   g_test_add_func("/sockets/freed", test_freed);
