--- a/src/io/door.c
+++ b/src/io/door.c
@@ -22,6 +22,9 @@
     [FK_ASK_HEALTH] = G_MAXUINT, [FK_ASK_PEER] = G_MAXUINT, [FK_ASK_REPORT] = 32, [FK_ASK_CANCEL] = 16,
     [FK_ASK_POLL] = 16,          [FK_ASK_SUBMIT] = 16,      [FK_ASK_OTHER] = 8};
 
+#define STALL_US 100000 /* between two tries to accept when there was no descriptor */
+#define STALL_SAID_US 10000000
+
 #define CONTINUE "HTTP/1.1 100 Continue\r\n\r\n"
 
 typedef struct {
@@ -63,7 +66,7 @@
   GPtrArray *dirty;      /* FkConn: to be sent at the end of the turn; each holds a reference */
   GHashTable *conns;     /* FkConn that have a place; each holds a reference */
   gboolean stalled;      /* no descriptor was left for who waits to be accepted */
-  gint64 stalled_us;
+  gint64 stalled_us, stalled_said_us;
   guint8 scratch[READ_BYTES];
 };
 
@@ -96,6 +99,13 @@
   c->sent = 0;
 }
 
+/* No longer asked of the kernel while nobody can be accepted: it would answer at once, again and again. */
+static void stall(FkDoor *d, gboolean stalled) {
+  d->stalled = stalled;
+  for (guint i = 0; i < d->listeners->len; i++)
+    ((Listener *)d->listeners->pdata[i])->poll.events = stalled ? 0 : G_IO_IN;
+}
+
 static void forget(FkConn *c) {
   fk_gate_leave(c->door->gate, &c->slot);
   drop_in(c);
@@ -113,7 +123,8 @@
   drop_out(c);
   if (!c->door) /* the door was freed first */
     return;
-  c->door->stalled = FALSE;
+  if (c->door->stalled)
+    stall(c->door, FALSE);
   if (!c->released || c->closed || c->slot.stage != FK_STAGE_SERVED)
     forget(c);
 }
@@ -467,10 +478,12 @@
     if (errno != EAGAIN) {
       /* No descriptor is left although the limits leave some: they are looser than the system's. Who waits is
        * taken in when one is closed, or a little later; asking on and on would take the processor. */
-      if (!l->door->stalled)
+      FkDoor *d = l->door;
+      gint64 t = now_us();
+      if (t >= d->stalled_said_us + STALL_SAID_US || !d->stalled_said_us)
         g_warning("door: can't accept: %s", g_strerror(errno));
-      l->door->stalled = TRUE;
-      l->door->stalled_us = now_us();
+      d->stalled_said_us = d->stalled_us = t;
+      stall(d, TRUE);
     }
     return;
   }
@@ -522,7 +535,7 @@
   }
   gint64 wakes = fk_gate_wakes(d->gate);
   if (d->stalled)
-    wakes = MIN(wakes, d->stalled_us + 100000);
+    wakes = MIN(wakes, d->stalled_us + STALL_US);
   gint64 wait = wakes == G_MAXINT64 ? -1 : MAX(0, wakes - now_us()) / 1000 + 1;
   *timeout = (gint)MIN(wait, 60000);
   return FALSE;
@@ -532,11 +545,11 @@
  * in the same turn. */
 static gboolean door_check(GSource *source) {
   FkDoor *d = (FkDoor *)source;
-  if (d->stalled && now_us() >= d->stalled_us + 100000)
-    d->stalled = FALSE;
+  if (d->stalled && now_us() >= d->stalled_us + STALL_US)
+    stall(d, FALSE);
   for (guint i = 0; i < d->listeners->len; i++) {
     Listener *l = d->listeners->pdata[i];
-    if (l->poll.revents && !d->stalled)
+    if ((l->poll.revents & G_IO_IN) && !d->stalled)
       accept_all(l);
   }
   if (d->epoll.revents)
--- a/test/test_door.c
+++ b/test/test_door.c
@@ -7,6 +7,7 @@
 #include <libsoup/soup.h>
 #include <netinet/in.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -536,6 +537,38 @@
   close_service(s);
 }
 
+/* No descriptor is left for who knocks: that is said, doesn't take the processor, and who waits is served as
+ * soon as there is one. */
+static void test_no_descriptor(void) {
+  FkDoorLimits l = limits();
+  Service *s = open_service(&l);
+  int fds[5];
+  struct rlimit was, none;
+  struct sockaddr_in to = {
+      .sin_family = AF_INET, .sin_port = htons(s->port), .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+  for (guint i = 0; i < G_N_ELEMENTS(fds); i++) { /* the kernel takes them in; nobody has accepted */
+    fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(connect(fds[i], (struct sockaddr *)&to, sizeof to), ==, 0);
+    g_assert_cmpint(send(fds[i], UP, strlen(UP), MSG_NOSIGNAL), >, 0);
+    fcntl(fds[i], F_SETFL, O_NONBLOCK);
+  }
+  getrlimit(RLIMIT_NOFILE, &was);
+  none = was;
+  none.rlim_cur = (rlim_t)fds[4] + 1;
+  g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &none), ==, 0);
+  g_test_expect_message(G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "*can't accept*");
+  for (guint i = 0; i < 50; i++)
+    turn();
+  g_test_assert_expected_messages();
+  g_assert_cmpuint(s->served, ==, 0);
+  setrlimit(RLIMIT_NOFILE, &was);
+  for (guint i = 0; i < G_N_ELEMENTS(fds); i++) {
+    expect(fds[i], "HTTP/1.1 200");
+    close(fds[i]);
+  }
+  close_service(s);
+}
+
 /* Garbage, cuts and resets at random: nothing is left behind, and who behaves is served all the while. */
 static void test_random(void) {
   FkDoorLimits l = limits();
@@ -717,6 +750,7 @@
   g_test_add_func("/sockets/under_way", test_under_way);
   g_test_add_func("/sockets/order", test_order);
   g_test_add_func("/sockets/half_bodies", test_half_bodies);
+  g_test_add_func("/sockets/no_descriptor", test_no_descriptor);
   g_test_add_func("/sockets/random", test_random);
   g_test_add_func("/sockets/freed", test_freed);
   g_test_add_func("/sockets/calls", test_calls);
