--- a/src/io/door.c
+++ b/src/io/door.c
@@ -480,9 +480,11 @@
        * taken in when one is closed, or a little later; asking on and on would take the processor. */
       FkDoor *d = l->door;
       gint64 t = now_us();
-      if (t >= d->stalled_said_us + STALL_SAID_US || !d->stalled_said_us)
+      if (!d->stalled_said_us || t >= d->stalled_said_us + STALL_SAID_US) {
         g_warning("door: can't accept: %s", g_strerror(errno));
-      d->stalled_said_us = d->stalled_us = t;
+        d->stalled_said_us = t;
+      }
+      d->stalled_us = t;
       stall(d, TRUE);
     }
     return;
