--- a/src/io/door.c
+++ b/src/io/door.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -650,19 +649,4 @@
   return NULL;
 }
 
-void fk_door_pause(FkDoor *d, gint64 us) {
-  struct pollfd fds[4];
-  nfds_t n = MIN(d->listeners->len, G_N_ELEMENTS(fds));
-  gint64 end = now_us() + us;
-  for (gint64 left = us; left >= 1000 && !d->stalled; left = end - now_us()) {
-    for (nfds_t i = 0; i < n; i++)
-      fds[i] = (struct pollfd){.fd = ((Listener *)d->listeners->pdata[i])->poll.fd, .events = POLLIN};
-    if (poll(fds, n, (int)(left / 1000)) <= 0)
-      break;
-    for (nfds_t i = 0; i < n; i++)
-      if (fds[i].revents)
-        accept_all(d->listeners->pdata[i]);
-  }
-}
-
 const FkGate *fk_door_gate(const FkDoor *d) { return d->gate; }
--- a/src/io/door.h
+++ b/src/io/door.h
@@ -28,6 +28,4 @@
 /* `where`: an IP address and a port. Returns the listening socket, which stays the door's; NULL on failure.
  */
 GSocket *fk_door_listen(FkDoor *d, const char *where, const FkDoorKeeper *keeper, GError **error);
-/* Waits, and accepts what comes in the meantime: a pause between turns isn't at the cost of who knocks. */
-void fk_door_pause(FkDoor *d, gint64 us);
 const FkGate *fk_door_gate(const FkDoor *d);
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -667,19 +667,14 @@
   return s;
 }
 
-#define GATHER_US 4000
-
 static FkShell *turning; /* a poll function has no argument of its own */
 
-/* A turn of the main loop looks at every source, hundreds of them. A short pause before each wait lets what
- * comes in the meantime share one turn; who knocks at the door is let in during it. */
-static gint gather_then_poll(GPollFD *fds, guint n, gint timeout) {
+/* What is waited for isn't processor time of any purpose; a turn is what lies between two waits. */
+static gint measured_poll(GPollFD *fds, guint n, gint timeout) {
   FkMeter *meter = fk_controller_meter(turning->core);
   FkCost before = begin(turning, FK_COST_IDLE);
   fk_vitals_turn_ends(turning->vitals, meter->last_ns, n);
-  if (timeout != 0)
-    fk_door_pause(turning->door, timeout > 0 ? MIN(GATHER_US, timeout * 1000) : GATHER_US);
-  gint ready = g_poll(fds, n, timeout > 0 ? MAX(0, timeout - GATHER_US / 1000) : timeout);
+  gint ready = g_poll(fds, n, timeout);
   end(turning, before);
   fk_vitals_turn_begins(turning->vitals, meter->last_ns);
   return ready;
@@ -687,7 +682,7 @@
 
 void fk_shell_run(FkShell *s) {
   turning = s;
-  g_main_context_set_poll_func(NULL, gather_then_poll);
+  g_main_context_set_poll_func(NULL, measured_poll);
   g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
   g_main_loop_run(loop);
 }
