--- a/src/io/door.c
+++ b/src/io/door.c
@@ -263,17 +263,6 @@
     go_on(c);
 }
 
-/* The other end won't send any more, or nothing of use. */
-static void ended(FkConn *c) {
-  switch (c->slot.stage) {
-  case FK_STAGE_SERVED:
-  case FK_STAGE_SEND:
-    return; /* it may still read its answer */
-  default:
-    close_now(c);
-  }
-}
-
 static gboolean wants(const FkConn *c) {
   return c->fd >= 0 && c->slot.stage != FK_STAGE_SERVED && c->slot.stage != FK_STAGE_SEND;
 }
@@ -305,7 +294,7 @@
     } else {
       c->readable = FALSE;
       c->half = TRUE;
-      ended(c);
+      close_now(c); /* nothing is under way here, see wants(): nobody waits for an answer */
     }
   }
 }
--- a/test/test_door.c
+++ b/test/test_door.c
@@ -243,6 +243,15 @@
     expect(fd, cases[i].start);
     close(fd);
   }
+  /* one that waits to be told to go on, with its body */
+  ask(kept,
+      "POST /submissions/length HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  char told[64] = "";
+  while (recv(kept, told, sizeof told - 1, 0) <= 0)
+    turn();
+  g_assert_cmpstr(told, ==, "HTTP/1.1 100 Continue\r\n\r\n");
+  ask(kept, "{}");
+  expect(kept, "HTTP/1.1 ");
   /* sent together: answered in order */
   ask(kept, CHUNKED "3\r\nabc\r\n0\r\n\r\n" POLL UP);
   guint n = 3;
