Remote Execution, first part: a build cache for teams with keys, over gRPC

The door hands raw streams over for it. `flaxknot key TEAM` makes a key. Execution isn't served yet.

Tests: test_rexec (tables, a property test of the shelf); test/rexec_client.py passes every call with Debian's grpc as the client, kills the service at random points of uploads and damages a blob: what was acknowledged is there, nothing wrong is served.

--- a/src/io/door.c
+++ b/src/io/door.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -283,6 +284,11 @@
 /* Reads what has come, as far as a request wants it. What comes while one is under way stays with the kernel.
  */
 static void pump(FkConn *c) {
+  if (c->at->keeper.raw) {
+    if (c->readable && c->slot.stage == FK_STAGE_FRESH)
+      request_complete(c); /* for as long as the connection lasts */
+    return;
+  }
   while (c->readable && wants(c)) {
     gssize n = recv(c->fd, c->door->scratch, READ_BYTES, 0);
     if (n > 0) {
@@ -360,7 +366,9 @@
 
 /* ------------------------------------------------------------------ the handler's side */
 
-gboolean fk_conn_can_read(const FkConn *c) { return c->gone || (c->released && c->taken < c->whole); }
+gboolean fk_conn_can_read(const FkConn *c) {
+  return c->gone || (c->released && (c->at->keeper.raw ? c->readable : c->taken < c->whole));
+}
 
 gboolean fk_conn_can_write(const FkConn *c) {
   return c->fd < 0 || c->gone || !c->out || c->out->len - c->sent < ANSWER_BYTES;
@@ -368,11 +376,23 @@
 
 /* A handler that wants to read after its answer has finished with the request. */
 void fk_conn_wants(FkConn *c) {
-  if (c->taken == c->whole && c->answering && c->slot.stage == FK_STAGE_SERVED)
+  if (!c->at->keeper.raw && c->taken == c->whole && c->answering && c->slot.stage == FK_STAGE_SERVED)
     answered(c);
 }
 
+static gssize read_raw(FkConn *c, void *to, gsize len) {
+  if (c->gone)
+    return 0;
+  gssize n = c->readable ? recv(c->fd, to, len, 0) : -1;
+  if (n < 0 && c->readable && errno != EAGAIN && errno != EINTR)
+    n = 0;
+  c->readable = n > 0 && ((gsize)n == len || c->half);
+  return n < 0 ? FK_CONN_LATER : n;
+}
+
 gssize fk_conn_read(FkConn *c, void *to, gsize len) {
+  if (c->at->keeper.raw)
+    return read_raw(c, to, len);
   fk_conn_wants(c);
   if (c->released && c->taken < c->whole) {
     gsize n = MIN(len, c->whole - c->taken);
@@ -440,6 +460,10 @@
     fk_conn_unref(c);
     return;
   }
+  /* An answer to a request is one write. Other protocols have small frames that others wait for. */
+  int yes = 1;
+  if (l->keeper.raw)
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
   g_hash_table_add(d->conns, c);
   char name[INET6_ADDRSTRLEN] = "";
   g_autoptr(GSocketAddress) address = g_socket_address_new_from_native((gpointer)from, from_len);
@@ -497,6 +521,8 @@
       fk_conn_ref(c);
       if (c->slot.stage == FK_STAGE_SEND && c->writable)
         answered(c);
+      else if (c->slot.stage == FK_STAGE_SERVED && c->writable)
+        flush(c);
       pump(c);
       fk_conn_unref(c);
     }
@@ -581,7 +607,7 @@
   d->epoll = (GPollFD){.fd = epoll_create1(EPOLL_CLOEXEC), .events = G_IO_IN};
   g_source_add_poll(&d->source, &d->epoll);
   g_source_set_name(&d->source, "door");
-  g_source_attach(&d->source, NULL);
+  g_source_attach(&d->source, g_main_context_get_thread_default());
   return d;
 }
 
--- a/src/io/door.h
+++ b/src/io/door.h
@@ -10,6 +10,9 @@
 typedef struct FkDoor FkDoor;
 
 typedef struct {
+  /* Requests aren't read here: a connection is handed over with its first byte, and its bytes go through as
+   * they come. For protocols that aren't HTTP/1; `ask` and `refusal` aren't used. */
+  gboolean raw;
   FkGuest guest; /* who comes to this listener, until a request says more */
   /* What is asked, by method and path (cut short when long). */
   FkAsk (*ask)(const char *method, const char *path);
@@ -21,7 +24,7 @@
   gpointer data;
 } FkDoorKeeper;
 
-/* Attached to the default main context. */
+/* Attached to the thread's default main context, where all of its calls and callbacks belong. */
 FkDoor *fk_door_new(const FkDoorLimits *limits);
 /* Closes all. Streams that others still hold are at their end then. */
 void fk_door_free(FkDoor *d);
--- /dev/null
+++ b/src/io/rexec.h
@@ -0,0 +1,15 @@
+/* Remote Execution's cache: Capabilities, content-addressable storage, ByteStream and ActionCache, over gRPC,
+ * for teams with a key. Runs in a thread of its own, with its own main context: the disk never holds up the
+ * scheduler. */
+#pragma once
+#include <glib.h>
+
+#include "rexec/settings.h"
+
+typedef struct FkRexec FkRexec;
+
+/* Listens and serves from now on. NULL and an error when the directory, the keys or the address can't be had.
+ * `s` is kept by reference. */
+FkRexec *fk_rexec_start(const FkRexecSettings *s, GError **error);
+/* Ends the thread; what is half done is given up. */
+void fk_rexec_stop(FkRexec *r);
--- a/src/io/soup_door.c
+++ b/src/io/soup_door.c
@@ -20,7 +20,7 @@
 gboolean fk_soup_door_listen(FkDoor *d, SoupServer *server, const char *where, FkGuest guest,
                              FkAsk (*ask)(const char *method, const char *path),
                              char *(*refusal)(const char *why), GError **error) {
-  const FkDoorKeeper keeper = {guest, ask, refusal, hand_over, server};
+  const FkDoorKeeper keeper = {FALSE, guest, ask, refusal, hand_over, server};
   GSocket *socket = fk_door_listen(d, where, &keeper, error);
   return socket && make_believe(server, socket, error);
 }
--- a/src/main.c
+++ b/src/main.c
@@ -1,10 +1,13 @@
-/* flaxknot serve|check --config FILE, flaxknot --version */
+/* flaxknot serve|check --config FILE, flaxknot key TEAM, flaxknot --version */
 #include <gio/gio.h>
+#include <openssl/rand.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "io/log.h"
+#include "io/rexec.h"
 #include "io/shell.h"
+#include "keys/keys.h"
 #include "wire/settings.h"
 
 #define OPERATOR_ENV "FLAXKNOT_OPERATOR"
@@ -31,23 +34,68 @@
   return g_steal_pointer(&s);
 }
 
+static FkRexecSettings *load_rexec(const char *file, GError **error) {
+  g_autofree char *text = NULL;
+  gsize len;
+  if (!g_file_get_contents(file, &text, &len, error))
+    return NULL;
+  FkRexecSettings *s = fk_rexec_settings_parse(text, len, error);
+  if (!s)
+    g_prefix_error(error, "%s: ", file);
+  return s;
+}
+
+/* The scheduler's door has what the build tools' one leaves. */
+static gboolean share_sockets(FkSettings *settings, const FkRexecSettings *rexec, GError **error) {
+  double left = settings->sockets - rexec->connections - 16;
+  if (left < 100) {
+    g_set_error(error, fk_settings_error(), 1,
+                "connections: %g for remote execution leave %g of the platform's %g sockets",
+                rexec->connections, left, settings->sockets);
+    return FALSE;
+  }
+  settings->sockets = left;
+  return TRUE;
+}
+
+/* A new key, and the entry that stands for it. The key itself is nowhere kept. */
+static int make_key(const char *team) {
+  guint8 bytes[32];
+  if (RAND_bytes(bytes, sizeof bytes) != 1) {
+    fprintf(stderr, "flaxknot: no random numbers are to be had\n");
+    return 1;
+  }
+  g_autofree char *key = g_base64_encode(bytes, sizeof bytes), *hash = fk_keys_hash(key);
+  g_autoptr(cJSON) entry = cJSON_CreateObject();
+  cJSON_AddStringToObject(entry, "team", team);
+  cJSON_AddStringToObject(entry, "sha256", hash);
+  g_autofree char *text = fk_json_print(entry);
+  printf("key, for the team's build tools (header \"authorization: Bearer KEY\"):\n  %s\n"
+         "entry, for the keys' file:\n  %s\n",
+         key, text);
+  return 0;
+}
+
 int main(int argc, char **argv) {
-  g_autofree char *config = NULL, *operator_file = NULL;
+  g_autofree char *config = NULL, *operator_file = NULL, *rexec_file = NULL;
   gboolean version = FALSE;
   g_auto(GStrv) rest = NULL;
   const GOptionEntry entries[] = {
       {"config", 0, 0, G_OPTION_ARG_FILENAME, &config, "The platform's settings", "FILE"},
       {"operator", 0, 0, G_OPTION_ARG_FILENAME, &operator_file,
        "The operators' own settings (default: the file that " OPERATOR_ENV " names, if any)", "FILE"},
+      {"remote-execution", 0, 0, G_OPTION_ARG_FILENAME, &rexec_file,
+       "Serve build tools' caches as this file says (default: don't)", "FILE"},
       {"version", 0, 0, G_OPTION_ARG_NONE, &version, "Print the version", NULL},
       {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &rest, NULL, NULL},
       G_OPTION_ENTRY_NULL};
-  g_autoptr(GOptionContext) context = g_option_context_new("serve|check");
+  g_autoptr(GOptionContext) context = g_option_context_new("serve|check|key TEAM");
   g_autoptr(GError) error = NULL;
   fk_log_init();
   g_option_context_set_summary(context, "flaxknot schedules jobs on a cluster of rented machines.\n\n"
                                         "  serve   run a controller until it is killed\n"
-                                        "  check   read the settings, and say what is wrong with them");
+                                        "  check   read the settings, and say what is wrong with them\n"
+                                        "  key     make a key for a team's build tools");
   g_option_context_add_main_entries(context, entries, NULL);
   if (!g_option_context_parse(context, &argc, &argv, &error)) {
     fprintf(stderr, "flaxknot: %s\n", error->message);
@@ -57,6 +105,8 @@
     printf("flaxknot %s\n", FK_VERSION);
     return 0;
   }
+  if (rest && g_strv_length(rest) == 2 && g_str_equal(rest[0], "key"))
+    return make_key(rest[1]);
   gboolean check = rest && g_strv_length(rest) == 1 && g_str_equal(rest[0], "check");
   gboolean serve = rest && g_strv_length(rest) == 1 && g_str_equal(rest[0], "serve");
   if ((!check && !serve) || !config) {
@@ -70,6 +120,11 @@
     fprintf(stderr, "flaxknot: %s\n", error->message);
     return 1;
   }
+  g_autoptr(FkRexecSettings) rexec_settings = rexec_file ? load_rexec(rexec_file, &error) : NULL;
+  if (rexec_file && (!rexec_settings || !share_sockets(settings, rexec_settings, &error))) {
+    fprintf(stderr, "flaxknot: %s\n", error->message);
+    return 1;
+  }
   if (check) {
     printf("the settings of %s are in order\n", settings->node);
     return 0;
@@ -79,7 +134,14 @@
     fprintf(stderr, "flaxknot: %s\n", error->message);
     return 1;
   }
+  FkRexec *rexec = rexec_settings ? fk_rexec_start(rexec_settings, &error) : NULL;
+  if (rexec_settings && !rexec) {
+    fprintf(stderr, "flaxknot: remote execution: %s\n", error->message);
+    fk_shell_free(shell);
+    return 1;
+  }
   fk_shell_run(shell);
+  fk_rexec_stop(rexec);
   fk_shell_free(shell);
   return 0;
 }
