--- a/src/io/door.c
+++ b/src/io/door.c
@@ -52,6 +52,7 @@
   gsize sent;
   gboolean readable, writable, half, gone; /* half: the other end won't send any more */
   gboolean continued, answering, dirty;
+  gboolean raw;            /* its listener's, which it may outlive */
   gboolean released;       /* the request that is complete was given to its handler */
   gboolean served, closed; /* has a stream; the stream was closed */
 };
@@ -284,7 +285,7 @@
 /* Reads what has come, as far as a request wants it. What comes while one is under way stays with the kernel.
  */
 static void pump(FkConn *c) {
-  if (c->at->keeper.raw) {
+  if (c->raw) {
     if (c->readable && c->slot.stage == FK_STAGE_FRESH)
       request_complete(c); /* for as long as the connection lasts */
     return;
@@ -367,7 +368,7 @@
 /* ------------------------------------------------------------------ the handler's side */
 
 gboolean fk_conn_can_read(const FkConn *c) {
-  return c->gone || (c->released && (c->at->keeper.raw ? c->readable : c->taken < c->whole));
+  return c->gone || (c->released && (c->raw ? c->readable : c->taken < c->whole));
 }
 
 gboolean fk_conn_can_write(const FkConn *c) {
@@ -376,7 +377,7 @@
 
 /* A handler that wants to read after its answer has finished with the request. */
 void fk_conn_wants(FkConn *c) {
-  if (!c->at->keeper.raw && c->taken == c->whole && c->answering && c->slot.stage == FK_STAGE_SERVED)
+  if (!c->raw && c->taken == c->whole && c->answering && c->slot.stage == FK_STAGE_SERVED)
     answered(c);
 }
 
@@ -391,7 +392,7 @@
 }
 
 gssize fk_conn_read(FkConn *c, void *to, gsize len) {
-  if (c->at->keeper.raw)
+  if (c->raw)
     return read_raw(c, to, len);
   fk_conn_wants(c);
   if (c->released && c->taken < c->whole) {
@@ -452,6 +453,7 @@
   c->at = l;
   c->fd = fd;
   c->writable = TRUE;
+  c->raw = l->keeper.raw;
   c->from = *from;
   fk_reader_init(&c->reader);
   struct epoll_event e = {.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, .data.ptr = c};
