Remote Execution: a connection that makes no call is closed after 10 s; TLS by GIO tried and left

GIO's TLS runs its handshake in a thread that reads our stream as a blocking one: both threads spun. The client's test ends its service however it ends itself.

--- a/src/io/h2_conn.c
+++ b/src/io/h2_conn.c
@@ -1,16 +1,18 @@
 #include "io/h2_conn.h"
 
 #define READ_BYTES 32768
-#define READS_A_TURN 8   /* then others have their turn */
-#define TAKE_US 60000000 /* a client that takes nothing for so long is gone */
+#define READS_A_TURN 8    /* then others have their turn */
+#define FIRST_US 10000000 /* to the first call: a connection that never makes one is no client's */
+#define TAKE_US 60000000  /* a client that takes nothing for so long is gone */
 
 struct FkH2Conn {
   GIOStream *stream;
   FkH2 *h2;
   GSource *in, *out, *idle, *wake;
-  GBytes *left;               /* given by nghttp2, not yet taken by the stream */
-  gint64 idle_us, blocked_us; /* blocked: since when the stream takes nothing; 0: it does */
-  gboolean told;              /* to go */
+  GBytes *left;                         /* given by nghttp2, not yet taken by the stream */
+  gint64 begun_us, idle_us, blocked_us; /* blocked: since when the stream takes nothing; 0: it does */
+  gboolean told;   /* to go */
+  gboolean called; /* has made a call */
   void (*over)(gpointer data, FkH2Conn *c);
   gpointer data;
 };
@@ -86,7 +88,12 @@
 }
 
 static void rest(FkH2Conn *c) {
-  gint64 at = fk_h2_calls(c->h2) ? -1 : g_get_monotonic_time() + c->idle_us;
+  gint64 at = -1;
+  c->called |= fk_h2_calls(c->h2) > 0;
+  if (!c->called)
+    at = c->begun_us + MIN(FIRST_US, c->idle_us);
+  else if (!fk_h2_calls(c->h2))
+    at = g_get_monotonic_time() + c->idle_us;
   g_source_set_ready_time(c->idle, c->blocked_us ? c->blocked_us + TAKE_US : at);
 }
 
@@ -150,7 +157,7 @@
 static gboolean on_idle(gpointer data) {
   FkH2Conn *c = data;
   g_source_set_ready_time(c->idle, -1);
-  if (c->told || c->blocked_us) {
+  if (c->told || !c->called || c->blocked_us) {
     finished(c);
     return G_SOURCE_REMOVE;
   }
@@ -169,6 +176,7 @@
   FkH2Conn *c = g_new0(FkH2Conn, 1);
   c->stream = g_object_ref(stream);
   c->h2 = fk_h2_new(limits, calls, calls_data);
+  c->begun_us = g_get_monotonic_time();
   c->idle_us = idle_us;
   c->over = over;
   c->data = data;
--- a/test/rexec_client.py
+++ b/test/rexec_client.py
@@ -6,7 +6,7 @@
 The service's framing, HPACK and flow control are tested against grpc's, not against themselves. The messages are
 generated here from the same numbers.
 """
-import hashlib, json, os, random, signal, socket, subprocess, sys, tempfile, time
+import atexit, hashlib, json, os, random, signal, socket, subprocess, sys, tempfile, time
 
 import grpc
 
@@ -63,8 +63,10 @@
         os.rename(os.path.join(work, "keys.new"), os.path.join(work, "keys.json"))
 
     def start(self):
+        log = open(os.path.join(work, "log"), "a")
         self.process = subprocess.Popen([BINARY, "serve", "--config", self.settings, "--remote-execution", self.file],
-                                        stderr=open(os.path.join(work, "log"), "a"))
+                                        stdout=log, stderr=log)
+        atexit.register(self.process.kill)  # however this ends
         for _ in range(500):
             try:
                 socket.create_connection(("127.0.0.1", self.port), 1).close()
