rexec: one way to unpack a blob's message, one way to say when to come back

Four copies of the same unpacking with the same budget, and two of the same refusal. Behaviour as it was: the independent client's calls, kills and damaged blob pass under the sanitizers.

--- a/src/io/rexec.c
+++ b/src/io/rexec.c
@@ -98,6 +98,17 @@
   fk_rpc_end(c->rpc, FK_GRPC_OK, NULL, NULL, 0);
 }
 
+/* Of bytes from anywhere: within a budget that its length sets. NULL: it isn't one. */
+static gpointer unpacked(const ProtobufCMessageDescriptor *type, const guint8 *bytes, gsize len) {
+  return fk_message_unpack(type, bytes, len, UNPACKED * len + READ_CHUNK);
+}
+
+static gpointer unpacked_blob(const ProtobufCMessageDescriptor *type, GBytes *blob) {
+  gsize len;
+  const guint8 *bytes = g_bytes_get_data(blob, &len);
+  return unpacked(type, bytes, len);
+}
+
 static FkGrpc code_of(FkBlobsOutcome o) {
   switch (o) {
   case FK_BLOBS_OK:
@@ -119,10 +130,13 @@
   return texts[o];
 }
 
+static void come_back(Call *c, const char *why) {
+  fail_with(c, FK_GRPC_RESOURCE_EXHAUSTED, why, fk_message_retry(FK_GRPC_RESOURCE_EXHAUSTED, why, RETRY_S));
+}
+
 static void fail_blob(Call *c, FkBlobsOutcome o) {
   if (o == FK_BLOBS_FULL)
-    fail_with(c, FK_GRPC_RESOURCE_EXHAUSTED, text_of(o),
-              fk_message_retry(FK_GRPC_RESOURCE_EXHAUSTED, text_of(o), RETRY_S));
+    come_back(c, text_of(o));
   else
     fail(c, code_of(o), text_of(o));
 }
@@ -310,10 +324,7 @@
       }
       continue; /* "any part that is missing is left out" */
     }
-    gsize len;
-    const guint8 *data = g_bytes_get_data(bytes, &len);
-    Rx__Directory *dir =
-        fk_message_unpack(&rx__directory__descriptor, data, len, UNPACKED * len + READ_CHUNK);
+    Rx__Directory *dir = unpacked_blob(&rx__directory__descriptor, bytes);
     if (!dir) {
       fail(c, FK_GRPC_INVALID_ARGUMENT, "a part of the tree is no directory");
       return;
@@ -334,7 +345,7 @@
       fk_message_free(dir);
       continue;
     }
-    bytes_given += len;
+    bytes_given += g_bytes_get_size(bytes);
     g_ptr_array_add(given, dir);
   }
   g_autofree char *token = at < order->len ? g_strdup_printf("%" G_GUINT64_FORMAT, at) : g_strdup("");
@@ -359,9 +370,7 @@
         fk_blobs_get(c->s->blobs, c->team, &g_array_index(trees, FkDigest, i), 64 * 1024 * 1024);
     if (!bytes)
       continue; /* it is among the blobs, and missing there */
-    gsize len;
-    const guint8 *data = g_bytes_get_data(bytes, &len);
-    Rx__Tree *tree = fk_message_unpack(&rx__tree__descriptor, data, len, UNPACKED * len + READ_CHUNK);
+    Rx__Tree *tree = unpacked_blob(&rx__tree__descriptor, bytes);
     gboolean good = tree && fk_message_tree_blobs(tree, blobs, why);
     if (!tree)
       *why = "an output directory's tree is none";
@@ -383,11 +392,7 @@
   g_autoptr(GBytes) bytes = fk_blobs_get_result(c->s->blobs, c->team, &action);
   g_autoptr(GArray) missing = g_array_new(FALSE, FALSE, sizeof(FkDigest));
   const char *why = NULL;
-  gsize len = 0;
-  const guint8 *data = bytes ? g_bytes_get_data(bytes, &len) : NULL;
-  Rx__ActionResult *r =
-      bytes ? fk_message_unpack(&rx__action_result__descriptor, data, len, UNPACKED * len + READ_CHUNK)
-            : NULL;
+  Rx__ActionResult *r = bytes ? unpacked_blob(&rx__action_result__descriptor, bytes) : NULL;
   if (!r || !complete(c, r, missing, &why) || missing->len)
     fail(c, FK_GRPC_NOT_FOUND, "no such result");
   else
@@ -563,8 +568,7 @@
   if (!u) {
     if (team_uploads(s, c->team, &oldest) >= UPLOADS_A_TEAM) {
       if (!oldest) {
-        fail_with(c, FK_GRPC_RESOURCE_EXHAUSTED, "too many uploads are under way",
-                  fk_message_retry(FK_GRPC_RESOURCE_EXHAUSTED, "too many uploads are under way", RETRY_S));
+        come_back(c, "too many uploads are under way");
         return FALSE;
       }
       upload_forget(s, oldest);
@@ -719,7 +723,7 @@
     return;
   }
   c->seen = TRUE;
-  gpointer m = fk_message_unpack(c->method->request, bytes, len, UNPACKED * len + READ_CHUNK);
+  gpointer m = unpacked(c->method->request, bytes, len);
   if (!m) {
     fail(c, FK_GRPC_INVALID_ARGUMENT, "the message isn't one, or is out of all proportion");
     return;
