--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -102,6 +102,14 @@
   return b->txn && (b->txn->guards->len + 4 > c->settings->txn_ops * 4 || b->bytes > TXN_BYTES);
 }
 
+/* What Elastic Sizing counts as a wait is for want of a machine: not the time that a task ran before its
+ * machine was lost, nor an outage of the store, in which nothing can start wherever there is room. After a
+ * mass loss the mean would stand at minutes, and bar machines from long jobs that nothing short asks for. */
+static FkTime could_start_since(FkController *c, const FkJob *j) {
+  FkTime since = {MAX(j->submitted_us, j->lost_at.us)};
+  return since.us > c->store_back.us ? since : c->store_back;
+}
+
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m) {
   /* spread and together look at the view: one task a transaction keeps them true */
   if ((j->spec->one_zone || j->spec->spread) && j->spec->shape != FK_SHAPE_GANG && b->txn)
@@ -169,7 +177,7 @@
              fk_time_between((FkTime){j->submitted_us}, c->now),
              g_hash_table_contains(m->images, j->spec->image) ? "" : ", without the image");
     if (!fk_spec_long(c, j->spec)) {
-      b->wait_sum += fk_time_between((FkTime){j->submitted_us}, c->now);
+      b->wait_sum += fk_time_between(could_start_since(c, j), c->now);
       b->wait_count++;
     }
     return TRUE;
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -10,7 +10,10 @@
 #define PEER_EVERY_S 1.0
 #define PEER_AFTER_S 2.5 /* without a look at the store */
 #define ALONE_S 2.5
-#define VERIFY_MAX 2000 /* polls waiting to be checked; more are told to come back */
+#define OUTAGE_S 3.0      /* the store is asked all the time: no answer for so long is an outage */
+#define VERIFY_MAX 2000   /* polls waiting to be checked; more are told to come back */
+#define TELL_EVERY_S 0.15 /* while somebody waits to hear of a cancellation */
+#define TELL_WAIT_S 0.7   /* so long, as for a transaction; then 503 */
 
 /* ------------------------------------------------------------------ small things */
 
@@ -187,8 +190,11 @@
 }
 
 static void store_answered(FkController *c, FkOutcome o) {
-  if (o != FK_REFUSED && o != FK_UNKNOWN)
-    c->store_ok = c->now;
+  if (o == FK_REFUSED || o == FK_UNKNOWN)
+    return;
+  if (fk_time_between(c->store_ok, c->now) > OUTAGE_S)
+    c->store_back = c->now;
+  c->store_ok = c->now;
 }
 
 void fk_controller_committed(FkController *c, FkTime now, guint64 id, FkOutcome o, FkRev epoch,
@@ -335,6 +341,8 @@
          g_hash_table_size(c->view->jobs), g_hash_table_size(c->view->machines));
 }
 
+static void tell_those_waiting(FkController *c);
+
 void fk_controller_watched(FkController *c, FkTime now, FkOutcome o, GPtrArray *events, FkRev epoch,
                            FkTime sent) {
   c->now = now;
@@ -362,6 +370,7 @@
     became_ready(c);
   /* A short pause lets several changes come in one answer: the watch's share of the request budget stays
    * small. */
+  tell_those_waiting(c);
   watch_next(c, events->len ? MAX(0.02, fk_controllers(c) / (WATCH_SHARE * c->settings->state_rps)) : 0);
   if (fk_ready(c)) {
     metered(c, FK_COST_CLAIMS, fk_claims_tick);
@@ -437,8 +446,22 @@
 
 /* ------------------------------------------------------------------ other controllers */
 
-const char *fk_controller_seen(FkController *c, FkTime now, FkRev *seen, double *store_age_s) {
+typedef enum { ASK_GET, ASK_SUBMIT, ASK_CANCEL } AskKind;
+typedef struct {
+  FkController *of; /* whose table has it */
+  AskKind kind;
+  FkRequest request;
+  char *id;
+  FkSpec *spec;
+  FkTime since;
+  guint tries;
+  gboolean stale; /* what the view says of it was found out of date */
+} Ask;
+
+const char *fk_controller_seen(FkController *c, FkTime now, FkRev *seen, FkRev *applied,
+                               double *store_age_s) {
   *seen = c->seen;
+  *applied = fk_ready(c) ? c->view->applied : (FkRev){0};
   *store_age_s = fk_time_between(c->store_ok, now);
   return c->life;
 }
@@ -448,8 +471,10 @@
  * view has. A controller that started anew proves nothing: its last life may have told a user of a
  * cancellation. */
 void fk_controller_peer(FkController *c, FkTime now, const char *peer, const char *life, FkRev seen,
-                        double store_age_s, FkTime sent) {
+                        FkRev applied, double store_age_s, FkTime sent) {
   c->now = now;
+  fk_tell_applied(c->tell, peer, applied);
+  tell_those_waiting(c);
   FkTime ok = fk_time_add(sent, -store_age_s);
   if (ok.us > c->peer_store_ok.us)
     c->peer_store_ok = ok;
@@ -474,12 +499,28 @@
   return proof;
 }
 
+/* The latest revision that somebody who waits to hear of a cancellation needs all to have applied; 0: none.
+ */
+static FkRev waited_for(FkController *c) {
+  FkRev latest = {0};
+  for (GList *l = c->telling->head; l; l = l->next) {
+    const FkJob *j = fk_view_job(c->view, ((Ask *)l->data)->id);
+    if (j && j->rev.n > latest.n)
+      latest = j->rev;
+  }
+  return latest;
+}
+
 static void peers_tick(FkController *c) {
-  if (fk_time_between(c->confirmed, c->now) < PEER_AFTER_S || !fk_time_reached(c->now, c->peer_next))
+  gboolean behind = fk_time_between(c->confirmed, c->now) >= PEER_AFTER_S;
+  if (!fk_time_reached(c->now, c->peer_next) || (!behind && g_queue_is_empty(c->telling)))
     return;
-  c->peer_next = fk_time_add(c->now, PEER_EVERY_S);
+  FkRev needed = waited_for(c);
+  c->peer_next = fk_time_add(c->now, needed.n ? TELL_EVERY_S : PEER_EVERY_S);
   for (guint i = 0; i < c->settings->peers->len; i++) {
     FkPeer *p = c->settings->peers->pdata[i];
+    if (!behind && fk_tell_knows(c->tell, p->name, needed))
+      continue;
     FkOut *o = fk_out(c, FK_OUT_PEER);
     o->name = g_strdup(p->name);
     o->addr = g_strdup(p->addr);
@@ -488,28 +529,19 @@
 
 /* ------------------------------------------------------------------ users */
 
-typedef enum { ASK_GET, ASK_SUBMIT, ASK_CANCEL } AskKind;
-typedef struct {
-  AskKind kind;
-  FkRequest request;
-  char *id;
-  FkSpec *spec;
-  FkTime since;
-  guint tries;
-  gboolean stale; /* what the view says of it was found out of date */
-} Ask;
-
-static void ask_free(gpointer p) {
+static void ask_destroy(gpointer p) {
   Ask *a = p;
-  if (!a)
-    return;
   g_free(a->id);
   fk_spec_unref(a->spec);
   g_free(a);
 }
 
+static void ask_free(Ask *a) { g_hash_table_remove(a->of->asks, a); }
+
 static Ask *ask_new(FkController *c, AskKind kind, FkRequest r, const char *id, FkSpec *spec) {
   Ask *a = g_new0(Ask, 1);
+  a->of = c;
+  g_hash_table_add(c->asks, a);
   a->kind = kind;
   a->request = r;
   a->id = g_strdup(id);
@@ -547,6 +579,23 @@
   ask_free(a);
 }
 
+/* The job is cancelled as the store has it, and that may be told now or not yet. Waits for the others' word
+ * as it would for a transaction's; who can't be told then is told to come back. */
+static void tell_later(FkController *c, Ask *a) {
+  if (c->settings->tuning.tell_after_s <= 0) {
+    answer_final(c, a, FK_PHASE_CANCELLED, 0);
+    return;
+  }
+  a->since = c->now;
+  if (!fk_ready(c) || c->telling->length >= VERIFY_MAX) {
+    answer_later(c, a);
+    return;
+  }
+  g_queue_push_tail(c->telling, a);
+  tell_those_waiting(c);
+  peers_tick(c);
+}
+
 static gboolean answered_from_final(FkController *c, Ask *a) {
   FkPhase phase;
   guint32 tasks;
@@ -556,6 +605,32 @@
   return TRUE;
 }
 
+/* What is final, or cancelled, never changes: no look at the store is needed. */
+static gboolean answered_from_memory(FkController *c, Ask *a) {
+  if (answered_from_final(c, a))
+    return TRUE;
+  const FkJob *j = fk_view_job(c->view, a->id);
+  if (!j || !j->cancelled)
+    return FALSE;
+  tell_later(c, a);
+  return TRUE;
+}
+
+static void tell_those_waiting(FkController *c) {
+  for (guint n = c->telling->length; n; n--) {
+    Ask *a = g_queue_pop_head(c->telling);
+    if (answered_from_final(c, a))
+      continue;
+    const FkJob *j = fk_ready(c) ? fk_view_job(c->view, a->id) : NULL;
+    if (j && j->cancelled && fk_tell_may(c, j))
+      answer_view(c, a, j);
+    else if (!fk_ready(c) || fk_time_between(a->since, c->now) > TELL_WAIT_S)
+      answer_later(c, a);
+    else
+      g_queue_push_tail(c->telling, a);
+  }
+}
+
 static void cancel_commit(FkController *c, Ask *a, FkSpec *spec, FkRev rev);
 static void read_live(FkController *c, Ask *a);
 
@@ -584,13 +659,15 @@
     return;
   }
   if (e->record->cancelled) {
-    answer_final(c, a, FK_PHASE_CANCELLED, 0);
+    tell_later(c, a);
     return;
   }
   if (a->kind == ASK_CANCEL) {
     cancel_commit(c, a, e->record->spec, e->rev);
     return;
   }
+  if (answered_from_memory(c, a))
+    return;
   FkJob *j = fk_view_job(c->view, a->id);
   if (j) {
     answer_view(c, a, j);
@@ -624,7 +701,7 @@
       answer_later(c, a);
       continue;
     }
-    if (answered_from_final(c, a))
+    if (answered_from_memory(c, a))
       continue;
     FkJob *j = fk_view_job(c->view, a->id);
     if (g_hash_table_contains(bad, a->id)) {
@@ -678,7 +755,7 @@
 void fk_controller_get(FkController *c, FkTime now, FkRequest r, const char *id) {
   c->now = now;
   Ask *a = ask_new(c, ASK_GET, r, id, NULL);
-  if (!answered_from_final(c, a))
+  if (!answered_from_memory(c, a))
     verify_add(c, a);
 }
 
@@ -712,7 +789,7 @@
 void fk_controller_submit(FkController *c, FkTime now, FkRequest r, FkSpec *spec) {
   c->now = now;
   Ask *a = ask_new(c, ASK_SUBMIT, r, spec->id, spec);
-  if (answered_from_final(c, a))
+  if (answered_from_memory(c, a))
     return;
   if (!fk_ready(c) || store_lost(c)) {
     answer_later(c, a);
@@ -748,7 +825,7 @@
 static void cancelled(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
   Ask *a = data;
   if (o == FK_OK)
-    answer_final(c, a, FK_PHASE_CANCELLED, 0);
+    tell_later(c, a);
   else if (o == FK_CONFLICT && a->tries++ < 4)
     read_live(c, a);
   else
@@ -768,7 +845,7 @@
 void fk_controller_cancel(FkController *c, FkTime now, FkRequest r, const char *id) {
   c->now = now;
   Ask *a = ask_new(c, ASK_CANCEL, r, id, NULL);
-  if (answered_from_final(c, a))
+  if (answered_from_memory(c, a))
     return;
   if (!fk_ready(c) || store_lost(c)) {
     answer_later(c, a);
@@ -790,9 +867,14 @@
 
 double fk_controller_share(FkController *c) { return 1.0 / fk_controllers(c); }
 
-/* The leader writes for the services of all: it has two parts. */
+/* The leader writes for the services of all: it has two parts, and as many as all the others together while
+ * services wait. Everybody counts them in the same view, so that the parts make up the whole. */
+#define SERVICES_MANY 4
+
 double fk_controller_write_share(FkController *c) {
-  return (c->leading ? 2.0 : 1.0) / (fk_controllers(c) + 1);
+  guint n = fk_controllers(c);
+  double leader = c->services_waiting >= SERVICES_MANY ? MAX(2, n - 1) : 2;
+  return (c->leading ? leader : 1.0) / (n - 1 + leader);
 }
 
 gboolean fk_controller_up(FkController *c, FkTime now) {
@@ -822,7 +904,10 @@
   c->outs = g_queue_new();
   c->commits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, call_free);
   c->gets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, call_free);
+  c->asks = g_hash_table_new_full(g_direct_hash, g_direct_equal, ask_destroy, NULL);
   c->verify = g_queue_new();
+  c->tell = fk_tell_new();
+  c->telling = g_queue_new();
   c->peer_proof = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->held = g_queue_new();
   c->fence_needed = TRUE;
@@ -850,7 +935,10 @@
   g_queue_free(c->outs);
   g_hash_table_unref(c->commits);
   g_hash_table_unref(c->gets);
-  g_queue_free_full(c->verify, ask_free);
+  g_queue_free(c->verify);
+  g_queue_free(c->telling);
+  g_hash_table_unref(c->asks);
+  fk_tell_free(c->tell);
   FkHeldReport *h;
   while ((h = g_queue_pop_head(c->held))) {
     fk_report_free(h->report);
@@ -924,6 +1012,7 @@
   if (!fk_ready(c))
     return;
   metered(c, FK_COST_USERS, verify_next);
+  tell_those_waiting(c);
   peers_tick(c);
   c->view->now = now;
   fk_view_rate_services(c->view);
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -168,9 +168,10 @@
 /* What this controller has seen of the store: its life, and the latest revision that it knows to be
  * committed. */
 /* `store_age_s`: how long ago the store last answered it. */
-const char *fk_controller_seen(FkController *c, FkTime now, FkRev *seen, double *store_age_s);
+/* `applied`: the revision that its view has reached; 0: it has no view. */
+const char *fk_controller_seen(FkController *c, FkTime now, FkRev *seen, FkRev *applied, double *store_age_s);
 void fk_controller_peer(FkController *c, FkTime now, const char *peer, const char *life, FkRev seen,
-                        double store_age_s, FkTime sent);
+                        FkRev applied, double store_age_s, FkTime sent);
 void fk_controller_types(FkController *c, FkTime now, FkOutcome o, GPtrArray *types);
 void fk_controller_machines(FkController *c, FkTime now, FkOutcome o, GPtrArray *listed, gboolean more);
 void fk_controller_rented(FkController *c, FkTime now, guint64 call, FkOutcome o, GPtrArray *names);
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -69,6 +69,8 @@
     count_on(c, before->machine, -1);
   count_on(c, e->machine, +1);
   g_hash_table_replace(c->ended, key, e);
+  if (!done && b->job->spec->shape == FK_SHAPE_SERVICE && !b->job->cancelled)
+    c->ends_urgent = TRUE;
 }
 
 /* What a page must still say: ends that the chunks' own records don't show. */
@@ -178,7 +180,7 @@
 
 void fk_ends_tick(FkController *c) {
   if (c->ends_sending || !g_hash_table_size(c->ended) || c->view->applied.n < c->ends_wait.n ||
-      !fk_time_reached(c->now, c->ends_after))
+      (!fk_time_reached(c->now, c->ends_after) && !c->ends_urgent))
     return;
   gsize size = 0, limit = (gsize)(900 * c->settings->value_kb);
   g_autoptr(GPtrArray) page = NULL;
@@ -227,6 +229,7 @@
   fk_txn_put(t, fk_key(FK_KEY_ENDS, name), r, (FkRev){0});
   finalize_complete(c, t, jobs);
   c->ends_after = fk_time_add(c->now, fk_pace_s(c, 1, WRITE_SHARE));
+  c->ends_urgent = FALSE;
   c->ends_sending = TRUE;
   fk_txn_send(c, t, ends_written, NULL, NULL);
 }
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define TICK_S 0.5
+#define RETURN_MAX 100 /* names a call, the cloud's limit */
 #define PLAN_JOBS 2000 /* looked at; more wait their turn */
 
 typedef struct {
@@ -599,12 +600,18 @@
 
 /* ------------------------------------------------------------------ returning */
 
-/* The cloud's 200 is proof that the machine, and all that was on it, is gone. Its home releases what is
- * booked there, then its description goes. */
+/* The cloud's 200 is proof that the machine, and all that was on it, is gone, whoever its home is: what is
+ * booked there is released at once, hundreds of bookings by one put, then its description goes. (The leader
+ * used to mark it, and its home released: two pages of every group and two waits for the view more, in the
+ * very seconds in which the store's writes are what everything waits for.) Should we end before that is
+ * written, the next leader returns the machine once more, and hears the same. */
 static void forget_machine(FkController *c, FkMachine *m) {
-  if (m->books->len)
-    fk_roster_mark(c, m, FK_MARK_GONE, -1);
-  else
+  for (guint i = 0; i < m->books->len; i++) {
+    const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
+    if (!fk_ending(c, m, b))
+      fk_end_book(c, m, b, FALSE, FALSE);
+  }
+  if (!m->books->len)
     fk_roster_remove(c, m);
 }
 
@@ -616,6 +623,7 @@
     return;
   g_free(key);
   g_autoptr(GPtrArray) names = value;
+  g_info("%u machines returned: outcome %d", names->len, o);
   for (guint i = 0; i < names->len; i++) {
     g_hash_table_remove(f->returning, names->pdata[i]);
     if (o != FK_OK)
@@ -638,20 +646,73 @@
   return fk_time_between(*(FkTime *)when, *(FkTime *)now) > GONE_KEPT_S;
 }
 
+/* A service that can't be reached still serves until its lease ends or its machine is returned. So a machine
+ * that has gone silent with services on it is given up no faster than they can be started elsewhere: were it
+ * dead, they would wait for the store's writes instead; should it only be cut off, they go on until their
+ * turn, and those whose turn doesn't come before it is heard again aren't lost at all. */
+#define UNPLACED_S 0.5 /* seconds' worth of the store's writes: so many services may be without a place */
+
+static guint services_on(const FkMachine *m) {
+  guint n = 0;
+  for (guint i = 0; i < m->books->len; i++) {
+    const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
+    n += b->job->spec->shape == FK_SHAPE_SERVICE && !b->job->cancelled;
+  }
+  return n;
+}
+
+/* Services that wait for a place, or whose place is being given up. */
+static guint unplaced(FkController *c) {
+  guint n = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &p))
+    n += ((FkJob *)p)->spec->shape == FK_SHAPE_SERVICE ? fk_job_waiting(p) : 0;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    const FkMachine *m = p;
+    if (g_hash_table_contains(c->fleet->gone, m->id) || g_hash_table_contains(c->fleet->returning, m->id))
+      n += services_on(m);
+  }
+  return n;
+}
+
+static int longest_marked(gconstpointer a, gconstpointer b) {
+  const FkMachine *x = *(FkMachine *const *)a, *y = *(FkMachine *const *)b;
+  return x->mark_seen.us != y->mark_seen.us ? (x->mark_seen.us < y->mark_seen.us ? -1 : 1)
+                                            : g_strcmp0(x->id, y->id);
+}
+
+static void give_up_serving(FkController *c, GPtrArray *serving, GPtrArray *names) {
+  if (!serving->len)
+    return;
+  guint without = unplaced(c), most = (guint)MAX(2, UNPLACED_S * c->settings->state_write_rps);
+  g_ptr_array_sort(serving, longest_marked);
+  for (guint i = 0; i < serving->len && names->len < RETURN_MAX; i++) {
+    const FkMachine *m = serving->pdata[i];
+    without += services_on(m);
+    if (without > most && without > services_on(m))
+      return;
+    g_ptr_array_add(names, g_strdup(m->id));
+  }
+}
+
 static void return_some(FkController *c) {
   FkFleet *f = c->fleet;
   g_hash_table_foreach_remove(f->gone, long_gone, &c->now);
   if (!fk_time_reached(c->now, f->return_next))
     return;
   g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+  g_autoptr(GPtrArray) serving = g_ptr_array_new();
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->machines);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
-    if (!m->rec || !m->mark || names->len >= 100)
+    if (!m->rec || !m->mark || names->len >= RETURN_MAX)
       continue;
-    if (g_hash_table_contains(f->gone, m->id) || g_str_equal(m->mark, FK_MARK_GONE)) {
+    if (g_hash_table_contains(f->gone, m->id)) {
       forget_machine(c, m);
       continue;
     }
@@ -661,8 +722,12 @@
     if ((g_str_equal(m->mark, "idle") || g_str_equal(m->mark, FK_MARK_DRAIN)) &&
         (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
       continue;
-    g_ptr_array_add(names, g_strdup(m->id));
+    if (g_str_equal(m->mark, "silent") && services_on(m))
+      g_ptr_array_add(serving, m);
+    else
+      g_ptr_array_add(names, g_strdup(m->id));
   }
+  give_up_serving(c, serving, names);
   g_hash_table_iter_init(&it, f->booting);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     Booting *b = p;
@@ -675,7 +740,7 @@
     double age = fk_time_between(b->since, c->now);
     gboolean late = age > MAX(60, 4 * (t ? t->boot_s : 60)) ||
                     (b->running && fk_time_between(b->running_since, c->now) > 45);
-    if ((b->failed || late) && names->len < 100 && !g_hash_table_contains(f->returning, b->id))
+    if ((b->failed || late) && names->len < RETURN_MAX && !g_hash_table_contains(f->returning, b->id))
       g_ptr_array_add(names, g_strdup(b->id));
   }
   if (!names->len)
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -2,8 +2,6 @@
  * that would bring the machine in line with the bookings are worked out anew. */
 #include "core/internal.h"
 
-#define DRIFT 0.0012 /* two clocks, each off by 0.05%, and a little */
-#define MARGIN_S 2.0
 #define MAX_ORDERS 200   /* an answer's line stays far below 64 KiB */
 #define COME_BACK_S 12.0 /* a worker that comes back within this can't reach its home */
 #define BACK_SHARE 0.15  /* of a group's machines that come back: its home can't be reached */
@@ -14,7 +12,9 @@
 #define SILENT_MORE_S 2.3 /* and the answer is waited for so long */
 #define SLICES 5          /* machines are looked through in so many ticks */
 #define THOROUGH 4        /* every so many times, a machine with nothing pending is gone through as well */
-#define CUT_OFF 0.25      /* when fewer than this share are heard, it is we who are cut off */
+#define DARK_LOOK_S 1.0   /* whether a zone is dark is looked at twice as often */
+#define LIT_TIMES 2  /* silence counts so many times as long after a zone was dark: all come back at once */
+#define CUT_OFF 0.25 /* when fewer than this share are heard, it is we who are cut off */
 
 FkHome *fk_home_new(void) {
   FkHome *h = g_new0(FkHome, 1);
@@ -36,18 +36,11 @@
 
 gboolean fk_is_mine(FkController *c, const FkMachine *m) { return m->group && fk_group_mine(c, m->group); }
 
-/* How long a home may answer for without a fresh look at the store: a cancellation that it hasn't seen is
- * then met by the end of the lease. See docs/design.md, "Cancellation". */
-static double trust_s(FkController *c) {
-  return MAX(1.0, c->settings->cancel_s - c->settings->lease_s * (1 + DRIFT) - MARGIN_S);
-}
-
 static gboolean current(FkController *c) {
-  return fk_ready(c) && fk_time_between(fk_confirmed(c), c->now) < trust_s(c);
+  return fk_ready(c) && fk_time_between(fk_confirmed(c), c->now) < fk_trust_s(c->settings);
 }
 
-/* A report at our present token has come: older tokens' commands and answers are void. */
-static gboolean heard(const FkMachine *m) {
+gboolean fk_home_heard(const FkMachine *m) {
   return m->home && m->home->heard_rev.n && m->home->heard_rev.n == m->group->rev.n;
 }
 
@@ -135,7 +128,7 @@
     gboolean pressing = FALSE;
     for (guint i = 0; i < orders->len && !pressing; i++)
       pressing = ((FkOrder *)orders->pdata[i])->op != FK_ORDER_FORGET;
-    if (!pressing && heard(m) && !probe) {
+    if (!pressing && fk_home_heard(m) && !probe) {
       h->settled = TRUE;
       g_ptr_array_unref(orders);
       return;
@@ -167,11 +160,9 @@
 static Go judge(FkController *c, FkMachine *m, const FkBookRef *b, gboolean lease_over,
                 gboolean *need_claim) {
   FkHome *h = m->home;
-  if (m->mark && g_str_equal(m->mark, FK_MARK_GONE))
-    return GO_RELEASE; /* the cloud has said that the machine is no more */
   if (lease_over)
     return GO_RELEASE;
-  if (!h || !heard(m) || !h->report)
+  if (!h || !fk_home_heard(m) || !h->report)
     return GO_STAY;
   FkTaskReport *t = report_find(h->report, b->job->spec->id, b->task, b->attempt);
   if (t)
@@ -252,7 +243,7 @@
   if (h->report && (report->session < h->report->session ||
                     (report->session == h->report->session && report->seq <= h->report->seq)))
     return TRUE;
-  if (report->token.n == m->group->rev.n && !heard(m)) {
+  if (report->token.n == m->group->rev.n && !fk_home_heard(m)) {
     h->heard_rev = m->group->rev;
     /* Starts sent under an older token can't be carried out any more. Those sent under this one before it was
      * heard of still can. */
@@ -286,8 +277,8 @@
     mark(c, m, "notice", h->report->notice_s);
   else if (h->failures >= SICK_FAILURES)
     mark(c, m, "sick", -1);
-  else if ((g_strcmp0(m->mark, "silent") == 0 || g_strcmp0(m->want_mark, "silent") == 0) && heard(m) &&
-           fk_time_between(h->last_heard, c->now) < 1)
+  else if ((g_strcmp0(m->mark, "silent") == 0 || g_strcmp0(m->want_mark, "silent") == 0) &&
+           fk_home_heard(m) && fk_time_between(h->last_heard, c->now) < 1)
     fk_roster_mark(c, m, NULL, -1);
 }
 
@@ -508,14 +499,14 @@
   FkHome *h = m->home;
   /* until the worker has seen our token, an earlier home may have gone on answering for as long as it trusted
    * its view */
-  FkTime from = h->first_heard.us ? h->first_heard : fk_time_add(h->claimed, trust_s(c));
+  FkTime from = h->first_heard.us ? h->first_heard : fk_time_add(h->claimed, fk_trust_s(c->settings));
   if (h->answered && h->last_answer.us > from.us)
     from = h->last_answer;
   /* A new session has a lease of its own from its start, answered or not: starts that we sent straight to it
    * may be carried out until that ends. */
   if (h->session_heard.us > from.us)
     from = h->session_heard;
-  return fk_time_add(from, c->settings->lease_s * (1 + DRIFT) + MARGIN_S);
+  return fk_time_add(from, fk_lease_over_s(c->settings));
 }
 
 static gboolean has_service(const FkMachine *m) {
@@ -542,16 +533,21 @@
 }
 
 /* A machine is silent when it wasn't heard, nor answered, although others were heard in the meantime. If they
- * weren't either, it is we who are cut off: returning them all would throw away what runs there. */
-static gboolean is_silent(FkController *c, const FkMachine *m, guint fresh, guint all) {
+ * weren't either, it is we who are cut off: returning them all would throw away what runs there. A zone that
+ * was dark comes back one machine after the other: the first ones heard must not condemn the rest, which have
+ * had no time to answer, so that their quiet counts from the end of the dark. */
+static gboolean is_silent(FkController *c, const FkMachine *m, const FkHeard *zone) {
   double quiet = fk_time_between(heard_at(m), c->now), limit = silent_after_s(c, m);
   /* Not answering a direct question is what counts: without one, or when we have been too slow to hear, quiet
    * proves nothing. */
   if (quiet <= limit || !m->home->unanswered || !fk_time_reached(c->now, c->late_until))
     return FALSE;
-  if (all <= 1)
+  if (zone->all <= 1)
     return quiet > 2 * limit;
-  return fresh >= CUT_OFF * (all - 1) || (fresh && quiet > 3 * limit);
+  double lit = fk_time_between(zone->dark, c->now), some = fk_time_between(zone->none, c->now);
+  if (lit <= DARK_LOOK_S)
+    return MIN(quiet, some) > 3 * limit;
+  return heard_at(m).us > zone->dark.us || lit > LIT_TIMES * limit;
 }
 
 static gboolean redirect_old(gpointer machine, gpointer redirect, gpointer now) {
@@ -561,19 +557,19 @@
 /* Silence and the lease's end come by themselves, and are looked for each time. All else comes with a report,
  * an answer or a change of the view, and is dealt with then: a machine with nothing pending is gone through
  * now and then only (`thorough`). */
-static void look_after(FkController *c, FkMachine *m, guint fresh, guint all, gboolean thorough) {
+static void look_after(FkController *c, FkMachine *m, const FkHeard *zone, gboolean thorough) {
   FkHome *h = m->home;
   double quiet = fk_time_between(heard_at(m), c->now);
-  if (is_silent(c, m, fresh, all))
+  if (is_silent(c, m, zone))
     mark(c, m, "silent", -1);
-  gboolean probe = quiet > probe_after_s(c, m), gone = m->mark && g_str_equal(m->mark, FK_MARK_GONE);
+  gboolean probe = quiet > probe_after_s(c, m);
   if (fk_time_reached(c->now, lease_end(c, m)))
     judge_all(c, m, TRUE);
-  else if (h->settled && !probe && !gone && !thorough)
+  else if (h->settled && !probe && !thorough)
     return;
   else
     command(c, m, probe);
-  if (h->report || gone)
+  if (h->report)
     judge_all(c, m, FALSE);
 }
 
@@ -605,7 +601,7 @@
   for (guint i = 0; i < c->heard->len; i++)
     if (g_array_index(c->heard, FkHeard, i).zone == zone)
       return &g_array_index(c->heard, FkHeard, i);
-  FkHeard h = {zone, 0, 0};
+  FkHeard h = {zone, 0, 0, {0}, {0}};
   g_array_append_val(c->heard, h);
   return &g_array_index(c->heard, FkHeard, c->heard->len - 1);
 }
@@ -615,7 +611,8 @@
  * when the first machine over there would be judged, none of the others may count as heard from before the
  * cut. */
 static void count_heard(FkController *c) {
-  g_array_set_size(c->heard, 0);
+  for (guint i = 0; i < c->heard->len; i++)
+    g_array_index(c->heard, FkHeard, i).all = g_array_index(c->heard, FkHeard, i).fresh = 0;
   double report_s = c->settings->report_s,
          recent = MIN(1.25 * report_s + 1.5, PROBE_AFTER * MIN(report_s, WATCHED_S) + SILENT_MORE_S - 1);
   GHashTableIter it;
@@ -634,6 +631,13 @@
       h->fresh += fk_time_between(m->home->last_heard, c->now) < recent;
     }
   }
+  for (guint i = 0; i < c->heard->len; i++) {
+    FkHeard *h = &g_array_index(c->heard, FkHeard, i);
+    if (h->all && h->fresh < CUT_OFF * (h->all - 1))
+      h->dark = c->now;
+    if (h->all && !h->fresh)
+      h->none = c->now;
+  }
 }
 
 #define LATE_S 0.7 /* a tick so much later than the last: we are behind */
@@ -664,7 +668,7 @@
     const FkHeard *h = zone_heard(c, g->zone);
     for (guint i = c->slice; fk_group_mine(c, g) && i < g->machines->len; i += SLICES)
       if (((FkMachine *)g->machines->pdata[i])->home)
-        look_after(c, g->machines->pdata[i], h->fresh, h->all, (i / SLICES + c->round) % THOROUGH == 0);
+        look_after(c, g->machines->pdata[i], h, (i / SLICES + c->round) % THOROUGH == 0);
   }
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -48,13 +48,18 @@
 typedef struct {
   const char *zone; /* interned */
   guint fresh, all;
+  FkTime dark; /* the last moment at which so few were heard that it may be we who are cut off */
+  FkTime none; /* ... at which none were */
 } FkHeard;
 
 typedef struct FkFleet FkFleet;
 typedef struct FkEnding FkEnding;
+typedef struct FkTell FkTell;
+
+#define FK_DRIFT 0.0012 /* two clocks, each off by 0.05%, and a little */
+#define FK_MARGIN_S 2.0
 
 #define FK_MARK_DRAIN "drain" /* what runs there moves, then it goes */
-#define FK_MARK_GONE "gone"   /* proven gone; what is booked there is released, then its description goes */
 
 typedef struct {
   const char *machine; /* interned */
@@ -87,6 +92,7 @@
   FkTime peer_next;
   FkTime peer_store_ok; /* the last moment at which a peer is known to have had an answer from the store */
   FkTime store_ok;      /* the last time that the store answered at all */
+  FkTime store_back;    /* when it did again after an outage */
   FkTime started;
   guint sync_failures;
 
@@ -98,10 +104,14 @@
   FkTime node_retry;
 
   /* users */
-  GQueue *verify;                                    /* waiting FkAsk */
-  GHashTable *hindrances;                            /* why nothing was launched -> looks, in this window */
+  GHashTable *asks;       /* every question of a user's that isn't answered yet: FkAsk */
+  GQueue *verify;         /* waiting FkAsk */
+  GHashTable *hindrances; /* why nothing was launched -> looks, in this window */
   guint launches, launch_conflicts, launch_failures; /* in this window */
+  guint services_waiting;                            /* tasks, at the last look */
   gboolean verifying;
+  FkTell *tell;
+  GQueue *telling; /* FkAsk: what they ask about is cancelled, and they may not be told yet */
   FkTime verify_after;
 
   guint txns[FK_PRIO_RESULT + 1], txn_writes[FK_PRIO_RESULT + 1]; /* in this window, by purpose */
@@ -116,6 +126,7 @@
   gboolean ends_sending;
   guint ends_page;
   FkRev ends_wait;
+  gboolean ends_urgent; /* a service waits to be started elsewhere: not for the pace */
   FkTime ends_after;
   gboolean claiming;
   FkRev claims_wait;
@@ -206,7 +217,22 @@
 /* quota.c */
 void fk_quota_tick(FkController *c);
 
+/* tell.c */
+FkTell *fk_tell_new(void);
+void fk_tell_free(FkTell *t);
+/* A lease that nobody renews is over after this, by any clock, in seconds. */
+double fk_lease_over_s(const FkSettings *s);
+/* How long a home may answer for without a fresh look at the store, in seconds. */
+double fk_trust_s(const FkSettings *s);
+/* A controller says that its view has reached the revision. */
+void fk_tell_applied(FkTell *t, const char *peer, FkRev applied);
+gboolean fk_tell_knows(const FkTell *t, const char *peer, FkRev rev);
+/* Whether a user may hear that the job, cancelled in our view, is so. */
+gboolean fk_tell_may(FkController *c, const FkJob *j);
+
 /* home.c */
+/* A report at our present token has come: older tokens' commands and answers are void. */
+gboolean fk_home_heard(const FkMachine *m);
 void fk_homes_tick(FkController *c);
 void fk_homes_view_changed(FkController *c);
 gboolean fk_is_mine(FkController *c, const FkMachine *m);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -81,8 +81,12 @@
     }
   }
   g_ptr_array_sort(jobs, job_order);
-  for (guint i = 0; i < jobs->len; i++)
-    ((FkJob *)jobs->pdata[i])->place = i + 1;
+  c->services_waiting = 0;
+  for (guint i = 0; i < jobs->len; i++) {
+    FkJob *j = jobs->pdata[i];
+    j->place = i + 1;
+    c->services_waiting += j->spec->shape == FK_SHAPE_SERVICE ? fk_job_waiting(j) : 0;
+  }
   return jobs;
 }
 
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -8,6 +8,7 @@
 #define PAGES_MAX 20
 #define BYTES_MAX 48000
 #define WRITE_SHARE 0.4 /* of the store's write budget, all controllers together */
+#define REMOVE_S 6.0    /* nobody waits for a machine's description to go: many go by one put */
 
 #define UNHURRIED_S 0.15
 
@@ -52,7 +53,8 @@
   if (!m->rec || !m->group)
     return;
   m->want_gone = TRUE;
-  m->group->dirty = TRUE;
+  if (!m->group->lazy.us)
+    m->group->lazy = fk_time_add(c->now, REMOVE_S);
 }
 
 /* The page as it should be; NULL when it is so already. */
@@ -118,12 +120,13 @@
          (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX))) &&
          g_hash_table_iter_next(&it, NULL, &p)) {
     FkGroup *g = p;
-    if (!g->dirty)
+    if (!g->dirty && (!g->lazy.us || !fk_time_reached(c->now, g->lazy)))
       continue;
     guint size;
     GPtrArray *members = page_wanted(c, g, &size);
     if (!members) {
       g->dirty = FALSE;
+      g->lazy.us = 0;
       continue;
     }
     if (!t)
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -37,7 +37,8 @@
                          .slack = 1.5,
                          .spot_patience = 0.3,
                          .headroom_s = 20,
-                         .silent_s = 0};
+                         .silent_s = 0,
+                         .tell_after_s = 30};
   return s;
 }
 
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -535,6 +535,8 @@
     fk_chunk_finish(c, b.task, b.attempt);
   else
     fk_chunk_release(c, b.task, b.attempt);
+  if (!done)
+    j->lost_at = v->now;
   j->done += done;
 }
 
@@ -669,6 +671,8 @@
       if (j->chunks[i])
         for (guint k = 0; k < j->chunks[i]->bookings->len; k++)
           touch(v, fk_view_machine_ensure(v, g_array_index(j->chunks[i]->bookings, FkBooking, k).machine));
+  if (r->cancelled && !j->cancelled)
+    j->cancel_seen = v->now;
   j->cancelled = r->cancelled;
   j->rev = rev;
 }
@@ -758,12 +762,6 @@
     *tasks = GPOINTER_TO_UINT(g_hash_table_lookup(v->final_tasks, id));
     return TRUE;
   }
-  FkJob *j = fk_view_job(v, id);
-  if (j && j->cancelled) {
-    *phase = FK_PHASE_CANCELLED;
-    *tasks = j->done;
-    return TRUE;
-  }
   return FALSE;
 }
 
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -91,12 +91,14 @@
   FkSpec *spec;
   FkRev rev;
   gboolean cancelled;
+  FkTime cancel_seen; /* when this controller first saw that */
   guint32 n_chunks;
   FkChunk **bases;  /* the chunks' records; NULL: no task of it was ever started */
   FkChunk **chunks; /* ... with what homes have written down of ends */
   guint32 done, booked;
   guint32 unstarted_hint; /* no chunk before this one has a waiting task */
   FkTime seen;            /* when this controller first saw it */
+  FkTime lost_at;         /* when a task of it lost its place last, its result not there yet */
   FkTime retry_at;        /* slowed after failures */
   guint failures;
   FkAttempt gang_attempt; /* the number of the launch under way */
@@ -138,6 +140,7 @@
   gboolean was_mine;
   gboolean wanted;  /* to be claimed: its workers can't reach their home, or a start must be made void */
   gboolean dirty;   /* its page is to be written */
+  FkTime lazy;      /* ... by then at the latest: somebody is to be taken out of it; 0: nobody */
   GHashTable *back; /* machines that came back from their home lately -> FkBack* */
 } FkGroup;
 
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -287,13 +287,15 @@
   Sent *sent = data;
   FkShell *s = sent->shell;
   g_autoptr(cJSON) o = status == 200 ? fk_json_parse(body, len) : NULL;
-  FkRev seen;
+  FkRev seen, applied = {0};
   gpointer number;
   if (g_hash_table_lookup_extended(s->reach_peers, sent->out->name, NULL, &number))
     reached(s, GPOINTER_TO_UINT(number), status);
-  if (o && fk_json_str(o, "life") && fk_json_u64(o, "seen", &seen.n))
-    fk_controller_peer(s->core, now(), sent->out->name, fk_json_str(o, "life"), seen,
+  if (o && fk_json_str(o, "life") && fk_json_u64(o, "seen", &seen.n)) {
+    fk_json_u64(o, "applied", &applied.n); /* one of before says nothing of it */
+    fk_controller_peer(s->core, now(), sent->out->name, fk_json_str(o, "life"), seen, applied,
                        fk_json_num_or(o, "store_age_s", 1e6), sent->sent);
+  }
   fk_out_free(sent->out);
   g_free(sent);
   drain(s);
@@ -302,15 +304,16 @@
 static void on_mesh(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
                     gpointer data) {
   FkShell *s = data;
-  FkRev seen;
+  FkRev seen, applied;
   double age_s;
   if (!g_str_equal(path, "/seen") || !g_str_equal(soup_server_message_get_method(msg), "GET")) {
     respond(msg, 404, fk_user_print_error("no such path"), 0);
     return;
   }
   g_autoptr(cJSON) o = cJSON_CreateObject();
-  cJSON_AddStringToObject(o, "life", fk_controller_seen(s->core, now(), &seen, &age_s));
+  cJSON_AddStringToObject(o, "life", fk_controller_seen(s->core, now(), &seen, &applied, &age_s));
   fk_json_add_u64(o, "seen", seen.n);
+  fk_json_add_u64(o, "applied", applied.n);
   cJSON_AddNumberToObject(o, "store_age_s", age_s);
   respond(msg, 200, fk_json_print(o), 0);
 }
--- a/src/wire/settings.c
+++ b/src/wire/settings.c
@@ -147,6 +147,7 @@
     {"slack", offsetof(FkTuning, slack), 0, 100},
     {"spot_patience", offsetof(FkTuning, spot_patience), 0, 1},
     {"silent_s", offsetof(FkTuning, silent_s), 2, 600},
+    {"tell_after_s", offsetof(FkTuning, tell_after_s), 0, 45},
     {"door_connections", offsetof(FkTuning, door.connections), 2, 100000},
     {"door_head_s", offsetof(FkTuning, door.head_s), 0.1, 600},
     {"door_body_s", offsetof(FkTuning, door.body_s), 0.1, 600},
--- a/test/sim.c
+++ b/test/sim.c
@@ -96,6 +96,8 @@
   int n;                       /* controllers */
   double tokens, write_tokens; /* the store's budgets */
   gint64 filled, slow_until, refused_until[N_MAX], peers_refuse_until;
+  const char *cut_zone; /* cut off from everything outside, */
+  gint64 cut_until;     /* until then */
   GPtrArray *workers, *jobs, *calls, *watches;
   GHashTable *by_id, *job_by_id;
   GHashTable *requests; /* number -> Req */
@@ -138,6 +140,16 @@
   return (FkTime){1000000 + (gint64)(m->now * (1 + 0.0005 * (i - 1)))};
 }
 
+static const char *ctl_zone(int i) { return i == 1 ? "south" : "north"; }
+
+/* Store, cloud and users have no zone (NULL). */
+static gboolean apart(const Sim *m, const char *a, const char *b) {
+  return m->now < m->cut_until && (g_strcmp0(a, m->cut_zone) == 0) != (g_strcmp0(b, m->cut_zone) == 0);
+}
+
+/* What is sent across a cut is held back, and delivered late. */
+static double until_healed(const Sim *m) { return (double)(m->cut_until - m->now) / 1e6 + 0.01; }
+
 static void drain(Sim *m, int i);
 static UJob *job_of(Sim *m, const char *id);
 
@@ -281,7 +293,8 @@
     break;
   case FK_OUT_WATCH:
     fk_controller_watched(core, now, o, l, epoch, sent);
-    /* what is kept by difference must be what a full look gives; a full look takes long where there is much */
+    /* what is kept by difference must be what a full look gives; a full look takes long where there is much
+     */
     if (m->order % (m->plan.up > 100 ? 97 : 11) == 0)
       check_view(fk_controller_view(core));
     break;
@@ -340,7 +353,9 @@
   }
   Answer *a = g_new0(Answer, 1);
   *a = (Answer){c, o, epoch, list, more, report};
-  after(m, between(m, 0.001, 0.008), answer_arrives, a);
+  const Worker *w = c->out->kind == FK_OUT_COMMANDS ? g_hash_table_lookup(m->by_id, c->out->addr) : NULL;
+  double s = between(m, 0.001, 0.008);
+  after(m, apart(m, ctl_zone(c->ctl), w ? w->zone : NULL) ? until_healed(m) : s, answer_arrives, a);
 }
 
 static void watch_answer(Sim *m, Call *c) {
@@ -730,9 +745,10 @@
   *r = (Req){0, w, {m->now}, w->inflight, w->session, NULL, 0};
   *h = (Hello){(int)w->home, c->gen, report_of(w), r};
   /* a cut may hold a report back and deliver it late */
-  double d = m->now < c->cut_workers   ? (c->cut_workers - m->now) / 1e6 + 0.01
-             : chance(m, m->plan.late) ? between(m, 1, 20)
-                                       : 0.002;
+  double d = apart(m, ctl_zone((int)w->home), w->zone) ? until_healed(m)
+             : m->now < c->cut_workers                 ? (c->cut_workers - m->now) / 1e6 + 0.01
+             : chance(m, m->plan.late)                 ? between(m, 1, 20)
+                                                       : 0.002;
   after(m, d, report_arrives, h);
 }
 
@@ -901,7 +917,7 @@
 static void ask(Sim *m, UJob *j, int kind) {
   int i = g_rand_int_range(m->rand, 0, m->n);
   Ctl *c = &m->ctl[i];
-  if (!c->core)
+  if (!c->core || apart(m, ctl_zone(i), NULL))
     return;
   guint64 id = ++m->next_req;
   Req *r = g_new0(Req, 1);
@@ -950,8 +966,10 @@
   if (o->phase == FK_PHASE_CANCELLED) {
     if (!j->asked_cancel)
       broken(m, "went_back", j->id);
-    if (!j->told_cancelled)
+    if (!j->told_cancelled) {
+      g_debug("WORLD %.3f the user of %s is told that it is cancelled", m->now / 1e6, j->id);
       j->cancelled_at = m->now;
+    }
     j->told_cancelled = TRUE;
   }
   /* an answer to a question asked before the user was told may still be the older one */
@@ -1006,13 +1024,14 @@
 static void peer_asked(Sim *m, gpointer p) {
   Call *c = p;
   int to = c->out->name[2] - '0';
-  FkRev seen;
+  FkRev seen, applied;
   double age_s;
-  if (!alive(c) || !m->ctl[to].core || chance(m, m->plan.lost) || m->now < m->peers_refuse_until)
+  if (!alive(c) || !m->ctl[to].core || apart(m, ctl_zone(c->ctl), ctl_zone(to)) || chance(m, m->plan.lost) ||
+      m->now < m->peers_refuse_until)
     return;
-  const char *life = fk_controller_seen(m->ctl[to].core, ctl_now(m, to), &seen, &age_s);
+  const char *life = fk_controller_seen(m->ctl[to].core, ctl_now(m, to), &seen, &applied, &age_s);
   c->answered = TRUE;
-  fk_controller_peer(m->ctl[c->ctl].core, ctl_now(m, c->ctl), c->out->name, life, seen, age_s,
+  fk_controller_peer(m->ctl[c->ctl].core, ctl_now(m, c->ctl), c->out->name, life, seen, applied, age_s,
                      (FkTime){1000000 + (gint64)(c->sent * (1 + 0.0005 * (c->ctl - 1)))});
   drain(m, c->ctl);
 }
@@ -1021,7 +1040,9 @@
 
 static void to_store(Sim *m, int i, Call *c) {
   double d = between(m, 0.001, 0.006) * (m->now < m->slow_until ? 15 : 1) + c->out->delay_s;
-  if (m->now < m->ctl[i].cut_state)
+  if (apart(m, ctl_zone(i), NULL))
+    d = until_healed(m);
+  else if (m->now < m->ctl[i].cut_state)
     d = (m->ctl[i].cut_state - m->now) / 1e6 + 0.01; /* held back, and delivered late */
   else if (c->out->kind == FK_OUT_COMMIT && chance(m, m->plan.late))
     d = between(m, 1, 40);
@@ -1047,8 +1068,10 @@
       g_free(k);
       Req *req = v;
       if (req->user) {
-        user_told(m, req, o);
-      } else if (!chance(m, m->plan.lost) && m->now >= m->ctl[i].cut_workers) {
+        if (!apart(m, ctl_zone(i), NULL))
+          user_told(m, req, o);
+      } else if (!chance(m, m->plan.lost) && m->now >= m->ctl[i].cut_workers &&
+                 !apart(m, ctl_zone(i), req->w->zone)) {
         Reply *r = g_new0(Reply, 1);
         *r = (Reply){req->w, *req, o->status, o->token, o->orders ? g_ptr_array_ref(o->orders) : NULL, -1};
         for (int n = 0; o->report_to && n < m->n; n++) {
@@ -1062,9 +1085,11 @@
       break;
     }
     case FK_OUT_COMMANDS: {
-      double d = m->now < m->ctl[i].cut_workers ? (m->ctl[i].cut_workers - m->now) / 1e6 + 0.01
-                 : chance(m, m->plan.late)      ? between(m, 1, 30)
-                                                : 0.002;
+      const Worker *w = g_hash_table_lookup(m->by_id, o->addr);
+      double d = w && apart(m, ctl_zone(i), w->zone) ? until_healed(m)
+                 : m->now < m->ctl[i].cut_workers    ? (m->ctl[i].cut_workers - m->now) / 1e6 + 0.01
+                 : chance(m, m->plan.late)           ? between(m, 1, 30)
+                                                     : 0.002;
       after(m, d, worker_commanded, c);
       after(m, DEADLINE_S, give_up, c);
       break;
@@ -1076,7 +1101,11 @@
     case FK_OUT_RENT:
     case FK_OUT_RETURN:
     case FK_OUT_MACHINES:
-      after(m, chance(m, m->plan.late) ? between(m, 1, 20) : 0.1, cloud_handles, c);
+      after(m,
+            apart(m, ctl_zone(i), NULL) ? until_healed(m)
+            : chance(m, m->plan.late)   ? between(m, 1, 20)
+                                        : 0.1,
+            cloud_handles, c);
       after(m, 4, give_up, c);
       break;
     default:
@@ -1130,7 +1159,39 @@
   after(m, 0.2, world_tick, NULL);
 }
 
+/* Many machines at once: some die, some hang for shorter or longer than a lease. */
+static void mass_loss(Sim *m) {
+  double share = between(m, 0.1, 0.5), s = between(m, 0.5, 1.5) * m->s->lease_s;
+  for (guint i = 0; i < m->workers->len; i++) {
+    Worker *w = m->workers->pdata[i];
+    if (w->gone || !chance(m, share))
+      continue;
+    if (chance(m, 0.5)) {
+      w->hung = m->now + (gint64)(s * 1e6);
+    } else {
+      wipe(m, w);
+      w->gone = TRUE;
+    }
+  }
+}
+
+static void cut_a_zone(Sim *m) {
+  static const double times[] = {0.5, 1, 1.5};
+  double s = times[g_rand_int_range(m->rand, 0, 3)] * (chance(m, 0.5) ? m->s->lease_s : m->s->cancel_s);
+  if (m->now < m->cut_until)
+    return;
+  m->cut_zone = chance(m, 0.7) ? "south" : "north";
+  m->cut_until = m->now + (gint64)(s * 1e6);
+  g_debug("WORLD %.3f %s is cut off for %.1f s", m->now / 1e6, m->cut_zone, s);
+}
+
 static void trouble(Sim *m, gpointer p) {
+  if (m->plan.masses && m->now < (gint64)(m->plan.seconds * 0.6e6) && chance(m, 0.3)) {
+    if (chance(m, 0.6))
+      cut_a_zone(m);
+    else
+      mass_loss(m);
+  }
   if (m->now < (gint64)(m->plan.seconds * 0.6e6)) {
     int i = g_rand_int_range(m->rand, 0, m->n);
     switch (g_rand_int_range(m->rand, 0, m->plan.more ? 10 : 7)) {
@@ -1210,12 +1271,11 @@
   for (int i = 0; i < m->n; i++) {
     named[i] = fk_settings_new();
     named[i]->node = g_strdup_printf("c-%d", i);
-    named[i]->zone = g_strdup(i == 1 ? "south" : "north");
+    named[i]->zone = g_strdup(ctl_zone(i));
     for (int k = 0; k < m->n; k++)
       if (k != i) {
         FkPeer *p = g_new0(FkPeer, 1);
-        *p = (FkPeer){g_strdup_printf("c-%d", k), g_strdup(k == 1 ? "south" : "north"),
-                      g_strdup("127.0.0.1:1")};
+        *p = (FkPeer){g_strdup_printf("c-%d", k), g_strdup(ctl_zone(k)), g_strdup("127.0.0.1:1")};
         g_ptr_array_add(named[i]->peers, p);
       }
     for (guint t = 0; t < s->teams->len; t++) {
@@ -1228,6 +1288,7 @@
     named[i]->report_s = s->report_s;
     named[i]->lease_s = s->lease_s;
     named[i]->cancel_s = s->cancel_s;
+    named[i]->tuning.tell_after_s = s->tuning.tell_after_s;
     named[i]->state_rps = s->state_rps;
     named[i]->state_write_rps = s->state_write_rps;
     named[i]->value_kb = s->value_kb;
--- a/test/sim.h
+++ b/test/sim.h
@@ -17,6 +17,7 @@
   guint up;          /* machines at the start, if more than three; the cloud then has no more than these */
   double scale;      /* jobs come so many times as often; 0: once */
   gboolean budgets;  /* the store refuses what is over its rates */
+  gboolean masses;   /* zones are cut off, many machines die or hang at once */
   gboolean more;     /* a slow store, one controller alone refused, controllers that refuse each other */
 } SimPlan;
 
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -62,6 +62,11 @@
   "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,"       \
   "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16}"
 
+#define SERVICE                                                                                              \
+  "{\"class\":\"c\",\"team\":\"red\",\"shape\":1,\"rank\":1,\"tasks\":1,\"cpus\":1,\"gpus\":0,\"mem\":1,"    \
+  "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":0,"        \
+  "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-1\",\"chunk\":16}"
+
 static char *group_key(const char *kind) {
   g_autofree char *id = fk_group_id("north", "i-1");
   return g_strconcat("fk/l/", kind, "/", id, NULL);
@@ -210,7 +215,7 @@
   g_autofree char *claim = group_key("g");
   const char *ours[] = {claim, "{\"node\":\"c-0\",\"life\":\"now\"}", NULL};
   watched(r, ours);
-  double trust = r->s->cancel_s - r->s->lease_s * 1.0012 - 2, lease = r->s->lease_s;
+  double trust = fk_trust_s(r->s), lease = r->s->lease_s;
   double waited = 0;
   while (waited < trust + lease + 20 && !find(r, FK_OUT_COMMIT, "fk/l/r/")) {
     tick(r, 0.5);
@@ -311,10 +316,11 @@
  * would give them all back, with what runs there. One quiet machine among others is silent. */
 static void test_silent_by_zone(void) {
   /* 0: one is quiet; 1: all of the zone always were; 2: all are from a moment on, one of them with a service,
-   * so that it is asked sooner than the others would report */
-  for (guint cut_off = 0; cut_off < 3; cut_off++) {
+   * so that it is asked sooner than the others would report; 3: as 2, but then the zone is heard again, all
+   * but the one with the service, which answers a little later; 4: it never does */
+  for (guint cut_off = 0; cut_off < 5; cut_off++) {
     Rig *r = rig_new(TRUE);
-    r->s->report_s = cut_off == 2 ? 10 : r->s->report_s;
+    r->s->report_s = cut_off >= 2 ? 10 : r->s->report_s;
     g_autoptr(GPtrArray) north = g_ptr_array_new_with_free_func(g_free),
                          south = g_ptr_array_new_with_free_func(g_free);
     g_autofree char *page = group_key("m"), *members = page_of("north", "i", 4, north),
@@ -324,21 +330,17 @@
     const char *lines[] = {page,       members, claim, "{\"node\":\"c-0\",\"life\":\"now\"}",
                            south_page, others,  NULL};
     watched(r, lines);
-    const char *service[] = {
-        "fk/l/j/run-9",
-        "{\"class\":\"c\",\"team\":\"red\",\"shape\":1,\"rank\":1,\"tasks\":1,\"cpus\":1,"
-        "\"gpus\":0,\"mem\":1,\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,"
-        "\"spread\":false,\"spot\":false,\"estimate\":0,\"checkpoint\":0,\"save\":0,"
-        "\"submitted\":1000,\"owner\":\"c-1\",\"chunk\":16}",
-        "fk/l/t/run-9/00000", "{\"f\":0,\"n\":1,\"a\":2,\"b\":[[0,1,\"i-1\",\"c-0\"]]}", NULL};
-    if (cut_off == 2)
+    const char *service[] = {"fk/l/j/run-9", SERVICE, "fk/l/t/run-9/00000",
+                             "{\"f\":0,\"n\":1,\"a\":2,\"b\":[[0,1,\"i-1\",\"c-0\"]]}", NULL};
+    if (cut_off >= 2)
       watched(r, service);
     gboolean marked = FALSE;
-    for (guint step = 0; step < 60 && !marked; step++) {
+    for (guint step = 0; step < (cut_off > 2 ? 160 : 60) && !marked; step++) {
       for (guint i = 0; i < south->len; i++)
         report_of(r, south->pdata[i], "south", 1 + step);
-      for (guint i = cut_off == 2 ? 0 : 1; i < north->len; i++)
-        if (!cut_off || (cut_off == 2 && step < 20))
+      gboolean heals = cut_off > 2 && step >= 90;
+      for (guint i = cut_off >= 2 ? 0 : 1; i < north->len; i++)
+        if (!cut_off || (cut_off >= 2 && step < 20) || (heals && (i || (cut_off == 3 && step > 104))))
           report_of(r, north->pdata[i], "north", 1 + step);
       tick(r, 0.5);
       for (guint i = 0; i < r->outs->len; i++) {
@@ -350,12 +352,110 @@
       g_ptr_array_set_size(r->outs, 0);
       watched(r, NULL);
     }
-    g_assert_cmpint(marked, ==, !cut_off);
+    g_assert_cmpint(marked, ==, !cut_off || cut_off == 4);
     rig_free(r);
   }
 }
 
 /* Ends that a home writes down count against the chunk's bookings, until the chunk says so itself. */
+/* A cancellation is committed and acted on at once, and told when no home that may still answer for its tasks
+ * can lack it: see core/tell.c. Machine i-1 is c-1's, and run-1 is booked there. */
+static void test_told(void) {
+  static const struct {
+    const char *what;
+    gboolean ours, heard, booked;
+    guint64 applied[2]; /* by c-1 and c-2, beyond the cancellation's revision or before it; 0: not asked */
+    double after_s;     /* tell_after_s */
+    double told_s;      /* the least, and the most a little later; -1: not within 20 s */
+  } cases[] = {
+      {"nobody has said that he knows", FALSE, FALSE, TRUE, {0, 0}, 30, -1},
+      {"one has", FALSE, FALSE, TRUE, {1000, 0}, 30, -1},
+      {"one is behind", FALSE, FALSE, TRUE, {1000, 2}, 30, -1},
+      {"all know", FALSE, FALSE, TRUE, {1000, 1000}, 30, 0},
+      {"longer ago than anybody may answer for", FALSE, FALSE, TRUE, {0, 0}, 5, 5},
+      {"nothing is booked", FALSE, FALSE, FALSE, {0, 0}, 30, 0},
+      {"ours, but an earlier home may be answering", TRUE, FALSE, TRUE, {0, 0}, 30, -1},
+      {"ours alone", TRUE, TRUE, TRUE, {0, 0}, 30, 0},
+      {"switched off", FALSE, FALSE, TRUE, {0, 0}, 0, 0},
+  };
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(cases[i].ours);
+    r->s->tuning.tell_after_s = cases[i].after_s;
+    if (cases[i].booked)
+      watched(r, (const char *const[]){"fk/l/t/run-1/00000", BOOKED, NULL});
+    if (cases[i].heard) {
+      g_autofree char *id = fk_group_id("north", "i-1");
+      report(r, 1, 1, fk_view_group(fk_controller_view(r->c), id)->rev.n, "running", FK_WHY_NONE);
+    }
+    fk_controller_cancel(r->c, r->now, (FkRequest){77}, "run-1");
+    pump(r);
+    FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/j/run-1");
+    g_assert_nonnull(t);
+    g_autoptr(GPtrArray) none = g_ptr_array_new();
+    fk_controller_committed(r->c, r->now, t->call, FK_OK, (FkRev){r->epoch + 1}, none);
+    g_autofree char *gone = g_strdup_printf("%.*s,\"cancelled\":true}", (int)strlen(SPEC) - 1, SPEC);
+    watched(r, (const char *const[]){"fk/l/j/run-1", gone, NULL});
+    g_assert_true(fk_view_job(fk_controller_view(r->c), "run-1")->cancelled);
+    double told = -1;
+    for (double s = 0; s < 20 && told < 0; s += 0.5) {
+      for (guint k = 0; k < 2; k++)
+        if (cases[i].applied[k])
+          fk_controller_peer(r->c, r->now, k ? "c-2" : "c-1", "y", (FkRev){1000},
+                             (FkRev){cases[i].applied[k]}, 0, r->now);
+      fk_controller_get(r->c, r->now, (FkRequest){100 + (guint64)(2 * s)}, "run-1");
+      tick(r, 0.5);
+      for (guint k = 0; k < r->outs->len; k++) {
+        FkOut *o = r->outs->pdata[k];
+        if (o->kind != FK_OUT_ANSWER)
+          continue;
+        /* never the older state, and who must come back hears it at once */
+        g_assert_true(o->status == 503 ? o->retry_s >= 1
+                                       : o->status == 200 && o->phase == FK_PHASE_CANCELLED);
+        if (o->status == 200 && told < 0)
+          told = s;
+      }
+      g_ptr_array_set_size(r->outs, 0);
+      watched(r, NULL);
+    }
+    g_test_message("%s: told after %.1f s", cases[i].what, told);
+    g_assert_cmpfloat(told, >=, cases[i].told_s);
+    g_assert_cmpfloat(told, <=, cases[i].told_s < 0 ? -1 : cases[i].told_s + 1);
+    rig_free(r);
+  }
+}
+
+/* Machines that went silent with services on them are given up no faster than these find places. */
+static void test_given_up(void) {
+  Rig *r = rig_new(TRUE);
+  g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+  g_autofree char *page = group_key("m"), *members = page_of("north", "i", 12, ids);
+  g_autoptr(GString) marked = g_string_new(members);
+  /* all are marked silent; all but the last two have a service each */
+  for (guint at = 0; at < marked->len; at++)
+    if (marked->str[at] == ']' && at && g_ascii_isdigit(marked->str[at - 1])) {
+      g_string_insert(marked, (gssize)at, ",\"silent\",-1");
+      at += 12;
+    }
+  watched(r, (const char *const[]){page, marked->str, "fk/l/leader", "{\"node\":\"c-0\",\"life\":\"now\"}",
+                                   NULL});
+  for (guint i = 0; i + 2 < ids->len; i++) {
+    g_autofree char *job = g_strdup_printf("fk/l/j/run-5%u", i),
+                    *chunk = g_strdup_printf("fk/l/t/run-5%u/00000", i),
+                    *booked = g_strdup_printf("{\"f\":0,\"n\":1,\"a\":2,\"b\":[[0,1,\"%s\",\"c-0\"]]}",
+                                              (char *)ids->pdata[i]);
+    watched(r, (const char *const[]){job, SERVICE, chunk, booked, NULL});
+  }
+  r->s->state_write_rps = 8; /* four services' worth */
+  tick(r, 1);
+  guint given_up = 0;
+  for (guint i = 0; i < r->outs->len; i++) {
+    FkOut *o = r->outs->pdata[i];
+    given_up += o->kind == FK_OUT_RETURN ? o->names->len : 0;
+  }
+  g_assert_cmpuint(given_up, ==, 2 + 4);
+  rig_free(r);
+}
+
 static void test_ends(void) {
   static const struct {
     const char *ends;
@@ -499,6 +599,8 @@
   g_test_add_func("/core/groups", test_groups);
   g_test_add_func("/core/came_back", test_came_back);
   g_test_add_func("/core/silent_by_zone", test_silent_by_zone);
+  g_test_add_func("/core/told", test_told);
+  g_test_add_func("/core/given_up", test_given_up);
   g_test_add_func("/core/ends", test_ends);
   g_test_add_func("/core/work", test_work);
   g_test_add_func("/core/split", test_split);
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -85,6 +85,29 @@
     /* ran_twice: a start held back by a cut reached a new session within that session's own lease, after the
      * booking had been released by the lease of the one before */
     {"everything", 24, FALSE, ALL, 24},
+    /* a zone, with a controller in it or without, is cut off for half, all or one and a half times of the
+       lease and of the time for a cancellation; many machines die or hang in the same minute */
+    {"zones", 40, FALSE, {DAY, .masses = TRUE, .late = 0.02, .scale = 2}},
+    {"masses", 30, FALSE, {DAY, .masses = TRUE, .kills = TRUE, .deaths = TRUE, .hangs = TRUE, .up = 24}},
+    /* and all else beside it */
+    {"masses_all",
+     40,
+     FALSE,
+     {.seconds = 300,
+      .lost = 0.03,
+      .late = 0.03,
+      .kills = TRUE,
+      .cuts = TRUE,
+      .outages = TRUE,
+      .deaths = TRUE,
+      .hangs = TRUE,
+      .cancels = TRUE,
+      .gangs = TRUE,
+      .masses = TRUE,
+      .machines = 20,
+      .up = 12,
+      .scale = 2,
+      FIVE}},
     /* wrong_place: a gang's launch went on after a member had left, with the same attempt number */
     {"gangs", 0, FALSE, ALL, 78},
     /* ran_twice: a home cut off from the store released by lease, its release came through late, another
