Services' writes first while they wait: ends of cancelled jobs and idle machines come later

Change: while four services or more wait, a cancelled job's final and idle machines' marks come later (nobody waits for them), and the long path ends when the transaction has no chunk left to open.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -94,7 +94,7 @@
 
 /* What is built goes out at once: a launch that waits for its turn in the budget is out of date by then. So
  * no more chunks are opened than there are writes free; further tasks of those that are open cost nothing. */
-static gboolean batch_no_more_chunks(FkController *c, const FkBatch *b) {
+gboolean fk_batch_no_more_chunks(FkController *c, const FkBatch *b) {
   return b->txn && b->txn->writes->len + 2 > MIN(c->settings->txn_ops, MAX(FK_LAUNCH_LEAST, c->write_room));
 }
 
@@ -128,7 +128,7 @@
         j->unstarted_hint++;
       continue;
     }
-    if (fk_batch_full(c, b) || (!copy && batch_no_more_chunks(c, b)))
+    if (fk_batch_full(c, b) || (!copy && fk_batch_no_more_chunks(c, b)))
       return FALSE;
     if (!b->txn) {
       b->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -19,6 +19,8 @@
 
 /* No further task goes in. */
 gboolean fk_batch_full(FkController *c, const FkBatch *b);
+/* Only tasks of chunks that are open already still find room. */
+gboolean fk_batch_no_more_chunks(FkController *c, const FkBatch *b);
 /* Books the job's first waiting task on the machine; FALSE: it doesn't go in. */
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m);
 /* Room promised to launches that the view doesn't show yet is given up: the view shows them now, or they
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -871,9 +871,11 @@
  * services wait. Everybody counts them in the same view, so that the parts make up the whole. */
 #define SERVICES_MANY 4
 
+gboolean fk_services_first(FkController *c) { return c->services_waiting >= SERVICES_MANY; }
+
 double fk_controller_write_share(FkController *c) {
   guint n = fk_controllers(c);
-  double leader = c->services_waiting >= SERVICES_MANY ? MAX(2, n - 1) : 2;
+  double leader = fk_services_first(c) ? MAX(2, n - 1) : 2;
   return (c->leading ? leader : 1.0) / (n - 1 + leader);
 }
 
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -172,7 +172,7 @@
     /* a large transaction finds no room in a busy store's budget; the sweep takes what is left here */
     guint max = (guint)CLAMP(c->write_room, 1, c->settings->txn_ops);
     guint left = max > t->writes->len ? max - t->writes->len : 0;
-    if (j->booked == ended && (j->cancelled || j->done + done == j->spec->tasks) && left >= 2 + j->n_chunks &&
+    if (j->booked == ended && (j->cancelled ? !fk_services_first(c) : j->done + done == j->spec->tasks) && left >= 2 + j->n_chunks &&
         t->guards->len + 1 < 4 * c->settings->txn_ops)
       fk_txn_finalize(c, t, j, left);
   }
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -38,7 +38,7 @@
   GHashTable *calls;   /* return call -> GPtrArray of ids */
   GHashTable *returning;
   guint64 counter;
-  FkTime next, list_next, return_next, drain_next;
+  FkTime next, list_next, return_next, drain_next, idle_next;
   gboolean list_pending, listed_once;
   char *after;
   FkTime list_began;
@@ -862,6 +862,8 @@
   fk_roster_mark(c, worst, FK_MARK_DRAIN, -1);
 }
 
+#define IDLE_EVERY_S 2.0 /* while services wait for the store's writes: more machines a page */
+
 /* Idle machines that the plan has no use for, those idle for longest first. */
 static void give_back_idle(FkController *c, const Bins *bins) {
   g_autoptr(GPtrArray) idle = g_ptr_array_new();
@@ -915,7 +917,10 @@
                g_array_new(FALSE, TRUE, sizeof(Bin))};
   demand(c, &bins);
   hire_planned(c, &bins);
-  give_back_idle(c, &bins);
+  if (!fk_services_first(c) || fk_time_reached(c->now, f->idle_next)) {
+    f->idle_next = fk_time_add(c->now, IDLE_EVERY_S);
+    give_back_idle(c, &bins);
+  }
   drain_dear(c);
   g_array_unref(bins.list);
   g_array_unref(bins.hire);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -189,6 +189,8 @@
 FkTime fk_confirmed(FkController *c);
 gboolean fk_alive(FkController *c, const char *node);
 gboolean fk_spec_long(FkController *c, const FkSpec *s);
+/* Services wait, and the store's writes are what they wait for: what nobody waits for comes later. */
+gboolean fk_services_first(FkController *c);
 FkRecord *fk_job_record(const FkJob *j, gboolean cancelled);
 /* Ends a job whose tasks are all done, or that is cancelled with none left, in `t`. */
 gboolean fk_txn_finalize(FkController *c, FkOut *t, FkJob *j, guint writes_left);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -229,7 +229,8 @@
   g_hash_table_iter_init(&it, c->view->jobs);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkJob *j = p;
-    if (j->booked || !(j->cancelled || fk_job_complete(j)))
+    /* that a job is cancelled is known from its record: its end can wait */
+    if (j->booked || !(j->cancelled ? !fk_services_first(c) : fk_job_complete(j)))
       continue;
     if (!t)
       t = fk_txn_new(c, FK_PRIO_RESULT);
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -107,7 +107,9 @@
 
 void fk_place_long(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *machines) {
   double spare = fk_spare_slots(c, machines, g_hash_table_size(c->view->machines), 1);
-  for (guint i = 0; i < jobs->len && !fk_batch_full(c, b); i++) {
+  /* Each job needs a chunk of its own: once the writes are used up, a look at all machines for each of hundreds
+   * of jobs that wait would be for nothing. */
+  for (guint i = 0; i < jobs->len && !fk_batch_full(c, b) && !fk_batch_no_more_chunks(c, b); i++) {
     FkJob *j = jobs->pdata[i];
     if (!fk_spec_long(c, j->spec))
       continue;
