A service takes a place with its image at hand: stop and start in one transaction

Cause: a service that found room only where its image wasn't waited for the fetch (2.5 s and more, 12 s and more on machines that fetch at 0.2 GB/s), and one without room waited for a stop to be committed, carried out, proven and written down before its own launch was decided. The places of services just cancelled, with the image at hand, weren't taken before that either.

Change: the leader books the service and asks tasks of a lower rank that end at once when told to leave, in one transaction; the home sends the stops and the start in one message, in this order (the worker carries them out in order; refused, it is released and tried again). Place and victims are chosen by the work lost (core/displace.c, out of leader.c). Both count against their teams until the end is proven, as every booking does.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -102,6 +102,30 @@
   return b->txn && (b->txn->guards->len + 4 > c->settings->txn_ops * 4 || b->bytes > TXN_BYTES);
 }
 
+/* The job's chunk as the transaction will write it. */
+static FkChunk *open_chunk(FkController *c, FkBatch *b, const FkJob *j, guint32 i) {
+  char *path = fk_key_chunk(j->spec->id, i);
+  FkChunk *copy = g_hash_table_lookup(b->chunks, path);
+  if (copy) {
+    g_free(path);
+    return copy;
+  }
+  if (!b->txn) {
+    b->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
+    fk_txn_guard(b->txn, fk_key(FK_KEY_FENCE, c->settings->node), fk_view_fence(c->view, c->settings->node));
+  }
+  const FkChunk *ch = j->chunks[i];
+  copy = ch ? fk_chunk_copy(ch) : fk_chunk_new(i * j->spec->chunk, fk_spec_chunk_tasks(j->spec, i));
+  FkRecord *r = fk_record_new(FK_KEY_CHUNK);
+  r->chunk = copy;
+  fk_txn_guard(b->txn, g_strdup(path), copy->rev);
+  fk_txn_put(b->txn, g_strdup(path), r, (FkRev){0});
+  fk_txn_guard(b->txn, fk_key(FK_KEY_JOB, j->spec->id), j->rev);
+  g_hash_table_insert(b->chunks, path, copy);
+  b->bytes += 300 + copy->count / 4 + copy->bookings->len * 40;
+  return copy;
+}
+
 /* What Elastic Sizing counts as a wait is for want of a machine: not the time that a task ran before its
  * machine was lost, nor an outage of the store, in which nothing can start wherever there is room. After a
  * mass loss the mean would stand at minutes, and bar machines from long jobs that nothing short asks for. */
@@ -130,21 +154,8 @@
     }
     if (fk_batch_full(c, b) || (!copy && fk_batch_no_more_chunks(c, b)))
       return FALSE;
-    if (!b->txn) {
-      b->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
-      fk_txn_guard(b->txn, fk_key(FK_KEY_FENCE, c->settings->node),
-                   fk_view_fence(c->view, c->settings->node));
-    }
-    if (!copy) {
-      copy = ch ? fk_chunk_copy(ch) : fk_chunk_new(i * j->spec->chunk, fk_spec_chunk_tasks(j->spec, i));
-      FkRecord *r = fk_record_new(FK_KEY_CHUNK);
-      r->chunk = copy;
-      fk_txn_guard(b->txn, g_strdup(path), copy->rev);
-      fk_txn_put(b->txn, g_strdup(path), r, (FkRev){0});
-      fk_txn_guard(b->txn, fk_key(FK_KEY_JOB, j->spec->id), j->rev);
-      g_hash_table_insert(b->chunks, g_steal_pointer(&path), copy);
-      b->bytes += 300 + copy->count / 4 + copy->bookings->len * 40;
-    }
+    if (!copy)
+      copy = open_chunk(c, b, j, i);
     if (!g_hash_table_contains(b->teams, j->spec->team)) {
       FkTeamUse *use = fk_view_team(c->view, j->spec->team);
       fk_txn_guard(b->txn, fk_key(FK_KEY_TEAM, j->spec->team), use->rev);
@@ -185,6 +196,20 @@
   return FALSE;
 }
 
+gboolean fk_batch_displace(FkController *c, FkBatch *b, FkJob *j, FkMachine *m, const GArray *victims) {
+  guint writes = b->txn ? b->txn->writes->len : 0, guards = b->txn ? b->txn->guards->len : 0;
+  if (writes + victims->len + 2 > MIN(c->settings->txn_ops, MAX(FK_LAUNCH_LEAST, c->write_room)) ||
+      guards + 2 * victims->len + 6 > c->settings->txn_ops * 4 || fk_batch_full(c, b) ||
+      !fk_batch_book(c, b, j, m))
+    return FALSE;
+  for (guint i = 0; i < victims->len; i++) {
+    const FkBookRef *v = &g_array_index(victims, FkBookRef, i);
+    g_info("%s/%u leaves %s for %s", v->job->spec->id, v->task, m->id, j->spec->id);
+    fk_chunk_stop(open_chunk(c, b, v->job, v->task / v->job->spec->chunk), v->task);
+  }
+  return TRUE;
+}
+
 void fk_pending_clear(FkController *c) {
   for (guint i = 0; i < c->pending->len; i++) {
     FkPend *p = &g_array_index(c->pending, FkPend, i);
--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -23,6 +23,9 @@
 gboolean fk_batch_no_more_chunks(FkController *c, const FkBatch *b);
 /* Books the job's first waiting task on the machine; FALSE: it doesn't go in. */
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m);
+/* Books the first waiting task on the machine, and asks the victims to leave it, in the same transaction:
+ * their home sends the stops and the start in one message, in this order. FALSE: it doesn't go in. */
+gboolean fk_batch_displace(FkController *c, FkBatch *b, FkJob *j, FkMachine *m, const GArray *victims);
 /* Room promised to launches that the view doesn't show yet is given up: the view shows them now, or they
  * failed. */
 void fk_pending_clear(FkController *c);
@@ -36,6 +39,16 @@
 /* Whether an array's task may go there, and what is spare then. */
 gboolean fk_leaves_reserve(FkController *c, FkMachine *m, const FkSpec *s, double *spare);
 
+/* displace.c: room made by stopping tasks of lower ranks */
+/* The work that would be lost, in core-seconds; < 0: there is no room to be made. `at_once`: only by tasks
+ * that end as soon as they are told. Who would be stopped goes into `victims` (FkBookRef). */
+double fk_displace_cost(FkController *c, const FkSpec *s, const FkMachine *m, gboolean at_once,
+                        GArray *victims);
+/* Where the least is lost, less than `most`; a machine without the image counts 1000 core-seconds. NULL:
+ * nowhere. */
+FkMachine *fk_displace_best(FkController *c, const FkJob *j, GPtrArray *machines, gboolean at_once,
+                            double most, GArray *victims);
+
 /* long.c */
 void fk_place_long(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *machines);
 void fk_keep_for_long(FkController *c, GPtrArray *jobs, GPtrArray *machines, GArray *kept);
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -69,7 +69,7 @@
     count_on(c, before->machine, -1);
   count_on(c, e->machine, +1);
   g_hash_table_replace(c->ended, key, e);
-  if (!done && b->job->spec->shape == FK_SHAPE_SERVICE && !b->job->cancelled)
+  if (!done && !b->job->cancelled && (b->stop || b->job->spec->shape == FK_SHAPE_SERVICE))
     c->ends_urgent = TRUE;
 }
 
@@ -172,8 +172,8 @@
     /* a large transaction finds no room in a busy store's budget; the sweep takes what is left here */
     guint max = (guint)CLAMP(c->write_room, 1, c->settings->txn_ops);
     guint left = max > t->writes->len ? max - t->writes->len : 0;
-    if (j->booked == ended && (j->cancelled ? !fk_services_first(c) : j->done + done == j->spec->tasks) && left >= 2 + j->n_chunks &&
-        t->guards->len + 1 < 4 * c->settings->txn_ops)
+    if (j->booked == ended && (j->cancelled ? !fk_services_first(c) : j->done + done == j->spec->tasks) &&
+        left >= 2 + j->n_chunks && t->guards->len + 1 < 4 * c->settings->txn_ops)
       fk_txn_finalize(c, t, j, left);
   }
 }
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -1,6 +1,6 @@
 /* The leader: a key on a hold names it. It places long jobs, sizes the short partition, rents and returns.
  * Nothing is unsafe when two controllers think they lead: every decision is guarded by itself. */
-#include "core/internal.h"
+#include "core/batch.h"
 
 #include <string.h>
 
@@ -303,53 +303,6 @@
     }
 }
 
-/* The work that would be lost by making room for the job on a machine, in core-seconds; < 0: it can't be
- * made. The victims go into `victims` (FkBookRef). */
-static double room_cost(FkController *c, FkJob *j, FkMachine *m, GArray *victims) {
-  const FkSpec *s = j->spec;
-  const FkType *t = fk_type_of(c, m);
-  double cpus = t->cpus - m->cpus - m->pend_cpus, gpus = t->gpus - m->gpus - m->pend_gpus,
-         mem = t->mem_gb - m->mem_gb - m->pend_mem, lost = 0;
-  g_array_set_size(victims, 0);
-  for (guint i = 0; i < m->books->len; i++) {
-    const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
-    if (b->stop || b->job->cancelled) {
-      /* leaves already */
-      cpus += b->job->spec->cpus;
-      gpus += b->job->spec->gpus;
-      mem += b->job->spec->mem_gb;
-    }
-  }
-  while (cpus < s->cpus - 1e-6 || gpus < s->gpus - 1e-6 || mem < s->mem_gb - 1e-6) {
-    const FkBookRef *best = NULL;
-    double best_lost = 0;
-    for (guint i = 0; i < m->books->len; i++) {
-      const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
-      gboolean taken = b->stop || b->job->cancelled || b->job->spec->rank <= s->rank;
-      for (guint k = 0; k < victims->len && !taken; k++) {
-        FkBookRef *v = &g_array_index(victims, FkBookRef, k);
-        taken = v->job == b->job && v->task == b->task;
-      }
-      if (taken)
-        continue;
-      double ran = fk_time_between(b->since, c->now), every = b->job->spec->checkpoint_s;
-      double l = (every > 0 ? MIN(ran, every) : ran) * b->job->spec->cpus;
-      if (!best || l < best_lost) {
-        best = b;
-        best_lost = l;
-      }
-    }
-    if (!best)
-      return -1;
-    cpus += best->job->spec->cpus;
-    gpus += best->job->spec->gpus;
-    mem += best->job->spec->mem_gb;
-    lost += best_lost;
-    g_array_append_val(victims, *best);
-  }
-  return lost;
-}
-
 /* Room for a job of a higher rank that fits nowhere: where the least work is lost, and the image is at hand.
  */
 static void preempt_for(FkController *c, Stops *stops, FkJob *j, GPtrArray *machines) {
@@ -357,25 +310,9 @@
       fk_best_for_long(c, j, machines, NULL))
     return;
   g_autoptr(GArray) victims = g_array_new(FALSE, FALSE, sizeof(FkBookRef));
-  FkMachine *best = NULL;
-  double best_cost = 0;
-  for (guint i = 0; i < machines->len; i++) {
-    FkMachine *m = machines->pdata[i];
-    if (!fk_job_allows(c, j, m))
-      continue;
-    double cost = room_cost(c, j, m, victims);
-    if (cost < 0)
-      continue;
-    if (!g_hash_table_contains(m->images, j->spec->image))
-      cost += 1000;
-    if (!best || cost < best_cost) {
-      best = m;
-      best_cost = cost;
-    }
-  }
+  FkMachine *best = fk_displace_best(c, j, machines, FALSE, G_MAXDOUBLE, victims);
   if (!best)
     return;
-  room_cost(c, j, best, victims);
   for (guint i = 0; i < victims->len; i++) {
     FkBookRef *v = &g_array_index(victims, FkBookRef, i);
     g_info("%s/%u leaves %s for %s", v->job->spec->id, v->task, best->id, j->spec->id);
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -6,11 +6,17 @@
 
 /* ------------------------------------------------------------------ the long path */
 
+/* How long the task's image takes to be there. */
+static double fetch_s(FkController *c, const FkJob *j, const FkMachine *m) {
+  if (g_hash_table_contains(m->images, j->spec->image))
+    return 0;
+  return j->spec->image_gb / MAX(0.01, fk_type_of(c, m)->fetch_gb_per_s);
+}
+
 /* Lower is better. */
 static double long_cost(FkController *c, const FkJob *j, const FkMachine *m) {
   const FkType *t = fk_type_of(c, m);
-  double fetch =
-      g_hash_table_contains(m->images, j->spec->image) ? 0 : j->spec->image_gb / MAX(0.01, t->fetch_gb_per_s);
+  double fetch = fetch_s(c, j, m);
   double price = m->rec->spot ? t->spot_price : t->price;
   double left = (t->cpus - m->cpus - m->pend_cpus - j->spec->cpus) / t->cpus;
   /* Whether it must fetch at all counts most, then what it costs to keep the machine for as long as the task
@@ -105,10 +111,30 @@
   }
 }
 
+#define FETCH_LONG_S 1.0 /* of an image: a service that must wait so long is late */
+#define LOSS_MAX 60.0    /* core-seconds that a service may cost rather than wait for an image */
+#define SEARCHES 3       /* a look: each goes through all machines and what they run */
+
+/* A service needn't wait for an image, or for room, where it is at hand but for tasks of a lower rank that
+ * end at once when they are told. */
+static gboolean displace(FkController *c, FkBatch *b, FkJob *j, GPtrArray **usable, double most) {
+  g_autoptr(GArray) victims = g_array_new(FALSE, FALSE, sizeof(FkBookRef));
+  if (!*usable)
+    *usable = fk_usable_machines(c);
+  FkMachine *m = fk_displace_best(c, j, *usable, TRUE, most, victims);
+  if (!m || !fk_batch_displace(c, b, j, m, victims))
+    return FALSE;
+  /* who leaves it for this one must not be counted on twice */
+  g_ptr_array_remove_fast(*usable, m);
+  return TRUE;
+}
+
 void fk_place_long(FkController *c, FkBatch *b, GPtrArray *jobs, GPtrArray *machines) {
+  g_autoptr(GPtrArray) usable = NULL;
+  guint searches = SEARCHES;
   double spare = fk_spare_slots(c, machines, g_hash_table_size(c->view->machines), 1);
-  /* Each job needs a chunk of its own: once the writes are used up, a look at all machines for each of hundreds
-   * of jobs that wait would be for nothing. */
+  /* Each job needs a chunk of its own: once the writes are used up, a look at all machines for each of
+   * hundreds of jobs that wait would be for nothing. */
   for (guint i = 0; i < jobs->len && !fk_batch_full(c, b) && !fk_batch_no_more_chunks(c, b); i++) {
     FkJob *j = jobs->pdata[i];
     if (!fk_spec_long(c, j->spec))
@@ -120,6 +146,11 @@
     guint32 waiting = fk_job_waiting(j);
     while (waiting-- && fk_team_allows(c, j->spec)) {
       FkMachine *best = fk_best_for_long(c, j, machines, NULL);
+      if (searches && j->spec->rank < FK_RANK_NORMAL && (!best || fetch_s(c, j, best) > FETCH_LONG_S)) {
+        searches--;
+        if (displace(c, b, j, &usable, best ? LOSS_MAX : G_MAXDOUBLE))
+          continue;
+      }
       if (!best || !fk_leaves_reserve(c, best, j->spec, &spare) || !fk_batch_book(c, b, j, best))
         break;
     }
