Short tasks are sampled among the machines that should be full; the others run empty

Change: the draw is among the first machines in the order in which they should be filled (spot, cheap, full, then always the same ones), enough for every probe and half as many again, sixteen at least.

--- a/src/core/short.c
+++ b/src/core/short.c
@@ -4,7 +4,9 @@
 #include <math.h>
 #include <string.h>
 
-#define QUEUE_MAX 24 /* probes a machine */
+#define QUEUE_MAX 24     /* probes a machine */
+#define SAMPLED 1.5      /* slots for each probe, among the machines that are sampled */
+#define SAMPLED_LEAST 16 /* machines */
 
 /* ------------------------------------------------------------------ the short path */
 
@@ -115,7 +117,35 @@
   double px = tx ? tx->price : 0, py = ty ? ty->price : 0;
   if (px != py)
     return px < py ? -1 : 1;
-  return x->cpus > y->cpus ? -1 : x->cpus < y->cpus;
+  if (x->cpus != y->cpus)
+    return x->cpus > y->cpus ? -1 : 1;
+  /* always the same ones: machines that are alike must not all be kept half full, but some full and some
+   * empty */
+  return g_strcmp0(x->id, y->id);
+}
+
+/* Where there is room for much more than what waits, only the machines that should have it are sampled,
+ * enough for every probe and half as many again: the others run empty, and can be returned. */
+static void keep_preferred(FkController *c, GPtrArray *open, GPtrArray *jobs) {
+  double probes = 0;
+  const FkSpec *least = NULL;
+  for (guint i = 0; i < jobs->len; i++) {
+    const FkJob *j = jobs->pdata[i];
+    if (fk_spec_long(c, j->spec) || !short_is_ours(c, j))
+      continue;
+    probes += fk_job_waiting(j) * c->settings->tuning.probe_ratio;
+    if (!least || j->spec->cpus > least->cpus)
+      least = j->spec;
+  }
+  guint keep = 0;
+  for (double slots = 0; least && keep < open->len && (keep < SAMPLED_LEAST || slots < SAMPLED * probes);
+       keep++) {
+    const FkMachine *m = open->pdata[keep];
+    const FkType *t = fk_type_of(c, m);
+    slots += t && least->cpus > 0 ? floor((t->cpus - m->cpus - m->pend_cpus) / least->cpus + FK_EPS) : 1;
+  }
+  if (least && keep < open->len)
+    g_ptr_array_set_size(open, (gint)keep);
 }
 
 /* The smallest that waits: a machine with less room than this isn't worth a look. */
@@ -142,6 +172,8 @@
   for (guint i = 0; i < mine->len; i++)
     if (fk_has_room(c, mine->pdata[i], cpus, mem))
       g_ptr_array_add(open, mine->pdata[i]);
+  g_ptr_array_sort_with_data(open, by_load, c);
+  keep_preferred(c, open, jobs);
   for (guint i = 0; i < jobs->len; i++) {
     FkJob *j = jobs->pdata[i];
     if (fk_spec_long(c, j->spec) || !short_is_ours(c, j))
