Services that can still start in time come before those that can't

The order's own rule, now for services too: under overload (8.6 services a second after an outage of 20 s) first come, first served made every service of the next 45 s late.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -57,8 +57,9 @@
     best = s->deadline_s - left;
   for (guint i = 0; i < c->settings->objectives->len; i++) {
     const FkObjective *o = c->settings->objectives->pdata[i];
-    if (g_strcmp0(o->kind, "finished") == 0 && g_strcmp0(o->class_name, s->class_name) == 0 &&
-        o->within_s >= left)
+    /* a service's aim is its start: after an outage those that can still have it come before those that can't */
+    if (g_strcmp0(o->kind, s->shape == FK_SHAPE_SERVICE ? "wait" : "finished") == 0 &&
+        g_strcmp0(o->class_name, s->class_name) == 0 && o->within_s >= left)
       best = MIN(best, o->within_s - left);
   }
   return best;
