A home that loses its workers notices before it marks any of them

Change: besides those heard lately, those heard in the last 1.3 s are held against how many should have been, where that is eight or more: shorter than an answer is waited for. After the dark, quiet counts so much longer as the dark lasted, once at most.

A test with 70 machines fails without it.

--- a/src/core/home.c
+++ b/src/core/home.c
@@ -13,8 +13,10 @@
 #define SLICES 5          /* machines are looked through in so many ticks */
 #define THOROUGH 4        /* every so many times, a machine with nothing pending is gone through as well */
 #define DARK_LOOK_S 1.0   /* whether a zone is dark is looked at twice as often */
-#define LIT_TIMES 2  /* silence counts so many times as long after a zone was dark: all come back at once */
-#define CUT_OFF 0.25 /* when fewer than this share are heard, it is we who are cut off */
+#define BRIEF_S                                                                                              \
+  1.3 /* shorter than an answer is waited for: who cuts us off is noticed before anybody is marked */
+#define BRIEF_LEAST 8.0 /* of so few nothing can be said in a moment */
+#define CUT_OFF 0.25    /* when fewer than this share are heard, it is we who are cut off */
 
 FkHome *fk_home_new(void) {
   FkHome *h = g_new0(FkHome, 1);
@@ -535,7 +537,8 @@
 /* A machine is silent when it wasn't heard, nor answered, although others were heard in the meantime. If they
  * weren't either, it is we who are cut off: returning them all would throw away what runs there. A zone that
  * was dark comes back one machine after the other: the first ones heard must not condemn the rest, which have
- * had no time to answer, so that their quiet counts from the end of the dark. */
+ * had no time to answer, so that their quiet counts from the end of the dark, and for longer after a long
+ * one. */
 static gboolean is_silent(FkController *c, const FkMachine *m, const FkHeard *zone) {
   double quiet = fk_time_between(heard_at(m), c->now), limit = silent_after_s(c, m);
   /* Not answering a direct question is what counts: without one, or when we have been too slow to hear, quiet
@@ -547,7 +550,7 @@
   double lit = fk_time_between(zone->dark, c->now), some = fk_time_between(zone->none, c->now);
   if (lit <= DARK_LOOK_S)
     return MIN(quiet, some) > 3 * limit;
-  return heard_at(m).us > zone->dark.us || lit > LIT_TIMES * limit;
+  return heard_at(m).us > zone->dark.us || lit > limit + MIN(limit, fk_time_between(zone->since, zone->dark));
 }
 
 static gboolean redirect_old(gpointer machine, gpointer redirect, gpointer now) {
@@ -601,7 +604,7 @@
   for (guint i = 0; i < c->heard->len; i++)
     if (g_array_index(c->heard, FkHeard, i).zone == zone)
       return &g_array_index(c->heard, FkHeard, i);
-  FkHeard h = {zone, 0, 0, {0}, {0}};
+  FkHeard h = {.zone = zone};
   g_array_append_val(c->heard, h);
   return &g_array_index(c->heard, FkHeard, c->heard->len - 1);
 }
@@ -609,10 +612,15 @@
 /* Counted by zone: a home that a partition has cut off from another zone still hears its own, and must not
  * take all the machines over there for silent. What counts as lately is shorter than the shortest silence:
  * when the first machine over there would be judged, none of the others may count as heard from before the
- * cut. */
+ * cut. Where there are enough of them the last moment tells more: a machine that was quiet for seconds before
+ * the cut is asked just after it, and judged while the others still count as heard lately (thirty machines
+ * with 107 replicas were returned in the three seconds after a controller lost its workers). */
 static void count_heard(FkController *c) {
-  for (guint i = 0; i < c->heard->len; i++)
-    g_array_index(c->heard, FkHeard, i).all = g_array_index(c->heard, FkHeard, i).fresh = 0;
+  for (guint i = 0; i < c->heard->len; i++) {
+    FkHeard *h = &g_array_index(c->heard, FkHeard, i);
+    h->all = h->fresh = h->brief = 0;
+    h->expected = 0;
+  }
   double report_s = c->settings->report_s,
          recent = MIN(1.25 * report_s + 1.5, PROBE_AFTER * MIN(report_s, WATCHED_S) + SILENT_MORE_S - 1);
   GHashTableIter it;
@@ -628,13 +636,20 @@
       if (!m->home || !m->rec)
         continue;
       h->all++;
-      h->fresh += fk_time_between(m->home->last_heard, c->now) < recent;
+      double ago = fk_time_between(m->home->last_heard, c->now);
+      h->fresh += ago < recent;
+      h->brief += ago < BRIEF_S;
+      h->expected += m->mark ? 0 : MIN(1, BRIEF_S / MIN(report_s, probe_after_s(c, m)));
     }
   }
   for (guint i = 0; i < c->heard->len; i++) {
     FkHeard *h = &g_array_index(c->heard, FkHeard, i);
-    if (h->all && h->fresh < CUT_OFF * (h->all - 1))
+    if (h->all && (h->fresh < CUT_OFF * (h->all - 1) ||
+                   (h->expected >= BRIEF_LEAST && h->brief < CUT_OFF * h->expected))) {
+      if (fk_time_between(h->dark, c->now) > DARK_LOOK_S)
+        h->since = c->now;
       h->dark = c->now;
+    }
     if (h->all && !h->fresh)
       h->none = c->now;
   }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -48,8 +48,11 @@
 typedef struct {
   const char *zone; /* interned */
   guint fresh, all;
-  FkTime dark; /* the last moment at which so few were heard that it may be we who are cut off */
-  FkTime none; /* ... at which none were */
+  guint brief;     /* heard in the last moment ... */
+  double expected; /* ... and how many should have been */
+  FkTime dark;     /* the last moment at which so few were heard that it may be we who are cut off */
+  FkTime since;    /* when that began */
+  FkTime none;     /* ... at which none were */
 } FkHeard;
 
 typedef struct FkFleet FkFleet;
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -358,6 +358,38 @@
 }
 
 /* Ends that a home writes down count against the chunk's bookings, until the chunk says so itself. */
+/* A home that loses its workers must notice before it marks any: the one with a service had been quiet for a
+ * while, was asked just after the cut, and would be judged while the others still count as heard lately. Should
+ * it alone be lost, it is marked. */
+static void test_home_cut_off(void) {
+  for (guint cut = 0; cut < 2; cut++) {
+    Rig *r = rig_new(TRUE);
+    r->s->report_s = 10;
+    g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+    g_autofree char *page = group_key("m"), *members = page_of("north", "i", 70, ids);
+    watched(r, (const char *const[]){page, members, "fk/l/j/run-9", SERVICE, "fk/l/t/run-9/00000",
+                                     "{\"f\":0,\"n\":1,\"a\":2,\"b\":[[0,1,\"i-1\",\"c-0\"]]}", NULL});
+    gboolean marked = FALSE;
+    for (guint step = 0; step < 260 && !marked; step++) {
+      gboolean heard = !cut || step < 200;
+      report_of(r, ids->pdata[1 + step % 69], "north", heard ? 1 + step : 0);
+      if (step < 160)
+        report_of(r, ids->pdata[0], "north", 1 + step);
+      tick(r, 0.1);
+      for (guint i = 0; i < r->outs->len; i++) {
+        FkOut *o = r->outs->pdata[i];
+        if (o->kind == FK_OUT_COMMANDS)
+          fk_controller_commanded(r->c, r->now, o->call, FK_UNKNOWN, NULL);
+      }
+      marked = find(r, FK_OUT_COMMIT, page) != NULL;
+      g_ptr_array_set_size(r->outs, 0);
+      watched(r, NULL);
+    }
+    g_assert_cmpint(marked, ==, !cut);
+    rig_free(r);
+  }
+}
+
 /* A cancellation is committed and acted on at once, and told when no home that may still answer for its tasks
  * can lack it: see core/tell.c. Machine i-1 is c-1's, and run-1 is booked there. */
 static void test_told(void) {
@@ -599,6 +631,7 @@
   g_test_add_func("/core/groups", test_groups);
   g_test_add_func("/core/came_back", test_came_back);
   g_test_add_func("/core/silent_by_zone", test_silent_by_zone);
+  g_test_add_func("/core/home_cut_off", test_home_cut_off);
   g_test_add_func("/core/told", test_told);
   g_test_add_func("/core/given_up", test_given_up);
   g_test_add_func("/core/ends", test_ends);
