--- a/test/model/cancel.pml
+++ b/test/model/cancel.pml
@@ -1,25 +1,31 @@
 /* When a cancellation may be told (src/core/tell.c; docs/design.md, "Cancellation"). One task on one machine, two
  * controllers. A controller's view is as old as it likes: a cut is a view that isn't renewed, and reports that don't come.
- * Homes answer reports while their view was current less than TRUST ago, in steps of a discrete clock; controllers crash,
- * take the claim over, release by the lease. From the moment that the user is told, the task must be gone within CANCEL.
+ * Homes answer reports while their view was current less than TRUST ago, in steps of a clock; a controller crashes, claims are
+ * taken over, a later home releases by the lease. From the moment that the user is told, the task must be gone within CANCEL.
+ * Times are ages, which stand still once they make no more difference.
  *
  * Guards can be taken out, and then the model must fail: -DNO_WAIT (told once committed), -DONE_KNOWS (told when the
  * teller alone knows), -DNO_TOKEN (a home's own knowledge is enough although its token wasn't shown), -DSHORT_PROOF (a
- * later home's proof by lease reckons with a trust that doesn't include the wait). */
+ * later home's proof by lease reckons with a trust that doesn't include the wait), -DNO_CLAIM (a release isn't guarded). */
 
 #define LEASE 2
 #define CANCEL 3
-#define WAIT 2                        /* tell_after_s */
+#define WAIT 2 /* tell_after_s */
 #define TRUST (CANCEL - LEASE + WAIT)
-#define END 9
+#define CLAIMS 4
+#define CRASHES 1
 
 #ifdef SHORT_PROOF
 #define EARLIER (CANCEL - LEASE)
 #else
 #define EARLIER TRUST
 #endif
-
-byte now = 1;
+#ifdef NO_CLAIM
+#define GUARD_CLAIM true
+#else
+#define GUARD_CLAIM (sees[i] == claim)
+#endif
+#define QUIET (LEASE + TRUST + 1)
 
 /* the store */
 byte claim = 2; /* its revision, the token: odd: controller 1's, even: controller 0's */
@@ -27,48 +33,58 @@
 
 /* the machine */
 bool running = true;
-byte base = 1;  /* its lease counts from here */
+byte lease;     /* since the last answered report */
 byte baton = 2; /* the highest token seen */
 
 /* the controllers */
 bool ready[2];
-byte current[2]; /* their view was, then */
-byte sees[2];    /* the claim */
-byte since[2];   /* when the view first showed it */
-byte from[2];    /* the claims before this one were an earlier life's */
-bool knows[2];   /* of the cancellation */
-byte known_at[2];
-byte answered[2]; /* when, under the claim that it sees; 0: never */
-bool shown[2];    /* the machine has shown that claim's token */
-bool said[2];     /* it has told the other that it knows */
+byte age[2];   /* of the view */
+byte sees[2];  /* the claim */
+byte from[2];  /* the claims before this one were an earlier life's */
+bool knows[2]; /* of the cancellation */
+byte known[2]; /* since then */
+byte quiet[2]; /* since the last answer under the claim that it sees, or since it saw that claim */
+bool shown[2]; /* the machine has shown that claim's token */
+bool said[2];  /* it has told the other that it knows */
+byte crashes;
 
 bool released;
 bool told;
-byte told_at;
+byte since_told;
 
 #define MINE(i) (ready[i] && sees[i] % 2 == i && sees[i] >= from[i])
-#define CURRENT(i) (ready[i] && now - current[i] < TRUST)
+#define CURRENT(i) (ready[i] && age[i] < TRUST)
 
-inline look(i) {
+inline older(what, most) {
   if
-  :: sees[i] != claim ->
-    sees[i] = claim; since[i] = now; answered[i] = 0; shown[i] = false
+  :: what < most -> what++
   :: else
-  fi;
-  if
-  :: cancelled && !knows[i] -> knows[i] = true; known_at[i] = now
-  :: else
-  fi;
-  ready[i] = true;
-  current[i] = now
+  fi
 }
 
 proctype controller(byte i) {
   do
-  :: d_step { now < END -> look(i) }
-  :: d_step { ready[i] && now < END -> ready[i] = false; knows[i] = false; sees[i] = 0; from[i] = claim + 1 } /* crash */
+  :: d_step { /* looks at the store */
+      ready[i] = true;
+      age[i] = 0;
+      if
+      :: sees[i] != claim -> sees[i] = claim; quiet[i] = 0; shown[i] = false
+      :: else
+      fi;
+      if
+      :: cancelled && !knows[i] -> knows[i] = true; known[i] = 0
+      :: else
+      fi
+    }
+  :: d_step { /* ends, and starts anew */
+      ready[i] && crashes < CRASHES ->
+      crashes++;
+      ready[i] = false; knows[i] = false; shown[i] = false;
+      sees[i] = 0; age[i] = 0; known[i] = 0; quiet[i] = 0;
+      from[i] = claim + 1
+    }
   :: d_step { /* claims it, from the other or anew in this life */
-      ready[i] && sees[i] == claim && !MINE(i) && claim < 5 ->
+      ready[i] && sees[i] == claim && !MINE(i) && claim < CLAIMS ->
       claim = claim + 1 + (claim % 2 == i)
     }
   :: d_step { /* a report comes, and is answered; under an old token the machine doesn't mind the answer */
@@ -76,23 +92,22 @@
       baton = sees[i];
       if
       :: knows[i] -> running = false
-      :: else -> base = now
+      :: else -> lease = 0
       fi;
-      answered[i] = now;
+      quiet[i] = 0;
       shown[i] = true
     }
-  :: d_step { /* proof by the lease: of an earlier home's answers too, while the machine hasn't shown our token */
-      MINE(i) && CURRENT(i) && !released &&
-      now > LEASE + (answered[i] -> answered[i] : since[i] + EARLIER) ->
+  :: d_step { /* proof by the lease, guarded by the claim: of an earlier home's answers too, while the machine hasn't shown our token */
+      MINE(i) && CURRENT(i) && GUARD_CLAIM && !released && quiet[i] > LEASE + (shown[i] -> 0 : EARLIER) ->
       released = true;
       assert(!running)
     }
-  :: d_step { ready[i] && knows[i] -> said[i] = true }
+  :: d_step { ready[i] && knows[i] && !said[i] -> said[i] = true }
   :: d_step { /* tells the user */
       (!told && ready[i] && knows[i]
 #ifndef NO_WAIT
 #ifndef ONE_KNOWS
-      && (said[1 - i] || now - known_at[i] >= WAIT ||
+      && (said[1 - i] || known[i] >= WAIT ||
 #ifdef NO_TOKEN
           MINE(i)
 #else
@@ -101,9 +116,8 @@
          )
 #endif
 #endif
-      ) -> told = true; told_at = now
+      ) -> told = true
     }
-  :: now >= END -> break
   od
 }
 
@@ -114,14 +128,27 @@
 proctype clock() {
   do
   :: d_step {
-      now < END -> now++;
+      older(age[0], TRUST); older(age[1], TRUST);
+      older(quiet[0], QUIET); older(quiet[1], QUIET);
+      if
+      :: knows[0] -> older(known[0], WAIT)
+      :: else
+      fi;
+      if
+      :: knows[1] -> older(known[1], WAIT)
+      :: else
+      fi;
+      if
+      :: running && lease == LEASE -> running = false; lease = 0
+      :: running && lease < LEASE -> lease++
+      :: else
+      fi;
       if
-      :: running && now - base > LEASE -> running = false
+      :: told -> older(since_told, CANCEL + 1)
       :: else
       fi;
-      assert(!(running && told && now - told_at > CANCEL))
+      assert(!(running && since_told > CANCEL))
     }
-  :: now >= END -> break
   od
 }
 
