--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -862,6 +862,26 @@
   fk_roster_mark(c, worst, FK_MARK_DRAIN, -1);
 }
 
+/* Work on ordinary machines that spot machines could do, in CPUs. While there is any, an idle spot machine is
+ * worth keeping for the next tasks: the ordinary ones, which cost several times as much, run empty instead
+ * and go. */
+#define SPOT_KEPT_S 60.0
+
+static double on_ordinary(FkController *c) {
+  double cpus = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    const FkMachine *m = p;
+    for (guint i = 0; m->rec && !m->rec->spot && i < m->books->len; i++) {
+      const FkSpec *s = g_array_index(m->books, FkBookRef, i).job->spec;
+      cpus += s->spot && s->shape == FK_SHAPE_ARRAY ? s->cpus : 0;
+    }
+  }
+  return cpus;
+}
+
 #define IDLE_EVERY_S 2.0 /* while services wait for the store's writes: more machines a page */
 
 /* Idle machines that the plan has no use for, those idle for longest first. */
@@ -877,6 +897,7 @@
       g_ptr_array_add(idle, m);
   }
   g_ptr_array_sort(idle, longest_idle);
+  double movable = on_ordinary(c);
   for (guint i = 0; i < bins->list->len; i++) {
     const Bin *b = &g_array_index(bins->list, Bin, i);
     guint spare = b->key.kind == BIN_IDLE ? b->count : 0;
@@ -885,6 +906,12 @@
       if (!m || m->type != b->key.type || m->rec->spot != (gboolean)b->key.spot ||
           !g_str_equal(m->rec->zone, b->key.zone))
         continue;
+      if (m->rec->spot && movable > 0 && fk_time_between(m->idle_since, c->now) < SPOT_KEPT_S) {
+        movable -= m->type->cpus;
+        idle->pdata[k] = NULL;
+        spare--;
+        continue;
+      }
       fk_roster_mark(c, m, "idle", -1);
       idle->pdata[k] = NULL;
       spare--;
