Dear machines are left by the tasks of arrays too; what spot machines have room for goes there

Change: a machine that costs four times what its tasks need elsewhere is left by tasks of arrays as it was by replicas, where every aim that they may meet is still met by far when they start anew, one machine in half a second, when nothing waits and there is room; while spot machines have room for all that waits, it goes there, in whose care they are, until each had its turn.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -786,7 +786,10 @@
 }
 
 #define DEAR 4.0 /* times what its replicas would cost on the cheapest machines */
-#define DEAR_EVERY_S 2.0
+#define DEAR_EVERY_S 0.5
+#define MOVE_LEFT_S 5.0 /* for a task to start anew */
+#define RUN_MOST 1.6    /* times its estimate that a task may take */
+#define LEFT_LEAST 0.6  /* ... of what is left, that it may end after */
 #define SETTLED_S 30.0
 
 /* What room for the task costs where it is cheapest. */
@@ -799,11 +802,44 @@
     const FkType *t = p;
     guint slots = fk_job_fits_type(s, t) ? slots_of(t->cpus, t->gpus, t->mem_gb, s) : 0;
     if (slots)
-      best = MIN(best, t->price / slots);
+      best = MIN(best, (s->spot ? t->spot_price : t->price) / slots);
   }
   return best;
 }
 
+/* Every aim of the task's that it may meet where it is must be met by far if it starts anew. `within`: since
+ * the submission. */
+static gboolean stays_on_time(double within, double waited, double left, double run_s) {
+  return within < waited + LEFT_LEAST * left || within >= waited + RUN_MOST * run_s + MOVE_LEFT_S;
+}
+
+/* Whether it can start again elsewhere without harm: a service that has settled, or a task of an array with
+ * time to spare for all of its aims. What it has done is lost, and costs less than keeping a machine for it.
+ */
+static gboolean may_move(FkController *c, const FkBookRef *b) {
+  const FkSpec *s = b->job->spec;
+  if (b->stop || b->job->cancelled || s->shape == FK_SHAPE_GANG)
+    return FALSE;
+  double ran = fk_time_between(b->since, c->now);
+  if (s->shape == FK_SHAPE_SERVICE)
+    return ran >= SETTLED_S;
+  double waited = fk_time_between((FkTime){b->job->submitted_us}, c->now), run_s = fk_view_run_s(c->view, s),
+         left = MAX(0, run_s - ran);
+  gboolean aims = s->deadline_s >= 0;
+  if (aims && !stays_on_time(s->deadline_s, waited, left, run_s))
+    return FALSE;
+  gboolean spare = aims && s->deadline_s >= waited + RUN_MOST * run_s;
+  for (guint i = 0; i < c->settings->objectives->len; i++) {
+    const FkObjective *o = c->settings->objectives->pdata[i];
+    if (g_strcmp0(o->kind, "finished") != 0 || g_strcmp0(o->class_name, s->class_name) != 0)
+      continue;
+    if (!stays_on_time(o->within_s, waited, left, run_s))
+      return FALSE;
+    spare |= o->within_s >= waited + RUN_MOST * run_s;
+  }
+  return spare;
+}
+
 /* How much dearer a machine is than what runs there needs; 0: it isn't for us to say. */
 static double dearness(FkController *c, const FkMachine *m) {
   const FkType *t = fk_type_of(c, m);
@@ -812,16 +848,15 @@
     return 0;
   for (guint i = 0; i < m->books->len; i++) {
     const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
-    if (b->job->spec->shape != FK_SHAPE_SERVICE || b->job->cancelled || b->stop ||
-        fk_time_between(b->since, c->now) < SETTLED_S)
+    if (!may_move(c, b))
       return 0;
     need += cheapest(c, b->job->spec);
   }
   return (m->rec->spot ? t->spot_price : t->price) / need;
 }
 
-/* A large machine kept by a few replicas costs more than they are worth: they move where there is room, one
- * machine at a time, when nothing waits. */
+/* A machine kept by a few tasks costs more than they are worth: they move where there is room, one machine at
+ * a time, when nothing waits. */
 static void drain_dear(FkController *c) {
   FkFleet *f = c->fleet;
   if (!fk_time_reached(c->now, f->drain_next))
@@ -846,18 +881,25 @@
   if (!worst)
     return;
   const FkSpec *s = g_array_index(worst->books, FkBookRef, 0).job->spec;
+  for (guint i = 1; i < worst->books->len; i++) {
+    const FkSpec *o = g_array_index(worst->books, FkBookRef, i).job->spec;
+    if (o->cpus > s->cpus || (o->cpus == s->cpus && !o->spot))
+      s = o; /* the one that is hardest to place speaks for all */
+  }
   guint room = 0;
   g_hash_table_iter_init(&it, c->view->machines);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
     const FkType *t = fk_type_of(c, m);
     if (t && m != worst && !m->mark && m->books->len && (!m->rec->spot || s->spot) &&
-        fk_job_fits_type(s, t) && t->price < fk_type_of(c, worst)->price)
+        fk_job_fits_type(s, t) &&
+        (m->rec->spot ? t->spot_price : t->price) <
+            (worst->rec->spot ? worst->type->spot_price : worst->type->price))
       room += slots_of(t->cpus - m->cpus, t->gpus - m->gpus, t->mem_gb - m->mem_gb, s);
   }
   if (room < 2 * worst->books->len)
     return;
-  g_info("%s (%s) is left by %u replicas: it costs %.1f times what they need", worst->id, worst->rec->type,
+  g_info("%s (%s) is left by %u tasks: it costs %.1f times what they need", worst->id, worst->rec->type,
          worst->books->len, most);
   fk_roster_mark(c, worst, FK_MARK_DRAIN, -1);
 }
--- a/src/core/short.c
+++ b/src/core/short.c
@@ -80,9 +80,36 @@
   }
 }
 
+/* There is room for all that waits on spot machines, here or in the care of others: what may run there, and
+ * every controller hasn't yet had its turn at, isn't for an ordinary machine, which costs several times as
+ * much. */
+static gboolean spot_has_room(FkController *c, GPtrArray *jobs) {
+  double wanted = 0;
+  for (guint i = 0; i < jobs->len; i++) {
+    const FkJob *j = jobs->pdata[i];
+    if (!fk_spec_long(c, j->spec))
+      wanted += fk_job_waiting(j) * j->spec->cpus;
+  }
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (wanted > 0 && g_hash_table_iter_next(&it, NULL, &p)) {
+    const FkMachine *m = p;
+    const FkType *t = m->rec && m->rec->spot && !m->mark ? fk_type_of(c, m) : NULL;
+    if (t)
+      wanted -= MAX(0, t->cpus - m->cpus - m->pend_cpus);
+  }
+  return wanted <= 0;
+}
+
+static gboolean all_had_their_turn(FkController *c, const FkJob *j) {
+  double turns = c->settings->tuning.steal_after_s + TURN_S * (c->settings->peers->len + 1);
+  return fk_time_between(j->seen, c->now) > turns;
+}
+
 /* Late binding: a machine with room takes the tasks in its queue that are still waiting, in the order of
  * jobs, not of arrival: ranks and deadlines hold inside a queue too. */
-static void bind_queue(FkController *c, FkBatch *b, FkMachine *m, double *spare) {
+static void bind_queue(FkController *c, FkBatch *b, FkMachine *m, double *spare, gboolean spot_first) {
   FkJob *waiting[QUEUE_MAX];
   guint n = 0;
   for (guint i = 0; m->probes && i < m->probes->len;) {
@@ -101,6 +128,8 @@
   }
   for (guint i = 0; i < n && !fk_batch_full(c, b); i++) {
     FkJob *j = waiting[i];
+    if (spot_first && !m->rec->spot && j->spec->spot && !all_had_their_turn(c, j))
+      continue;
     while (short_is_ours(c, j) && fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) &&
            fk_job_allows(c, j, m) && fk_leaves_reserve(c, m, j->spec, spare) && fk_batch_book(c, b, j, m))
       ;
@@ -186,6 +215,7 @@
   }
   g_ptr_array_sort_with_data(open, by_load, c);
   double spare = fk_spare_slots(c, open, mine->len, 1.0 / fk_controllers(c));
+  gboolean spot_first = spot_has_room(c, jobs);
   for (guint i = 0; i < open->len && !fk_batch_full(c, b); i++)
-    bind_queue(c, b, open->pdata[i], &spare);
+    bind_queue(c, b, open->pdata[i], &spare, spot_first);
 }
