--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -38,7 +38,7 @@
                          .spot_patience = 0.3,
                          .headroom_s = 20,
                          .silent_s = 0,
-                         .tell_after_s = 30};
+                         .tell_after_s = 40};
   return s;
 }
 
