--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -62,12 +62,18 @@
   return c->settings->node;
 }
 
+/* The view is there, and the store answers. */
+static FkTime well_since(FkController *c) {
+  return c->store_back.us > c->ready_since.us ? c->store_back : c->ready_since;
+}
+
 static gboolean to_claim(FkController *c, FkGroup *g, guint *taken_back) {
   gboolean mine = fk_group_mine(c, g);
-  /* lost while we were well: the workers can't reach us. Lost just after a start, it was only taken in the
-   * meantime. */
+  /* lost while we were well: the workers can't reach us. Lost just after a start, or while the store couldn't
+   * be reached, it was only taken in the meantime: what runs there would die in the next cut, its home
+   * outside. */
   if (g->was_mine && !mine && g->home && !g_str_equal(g->home, c->settings->node) && fk_alive(c, g->home) &&
-      fk_time_between(c->ready_since, c->now) > SETTLED_S)
+      fk_time_between(well_since(c), c->now) > SETTLED_S)
     g->lost_until = fk_time_add(c->now, LOST_S);
   if (g->was_mine && !mine)
     g->theirs_until = fk_time_add(c->now, c->settings->lease_s * THEIRS_LEASES);
@@ -81,7 +87,7 @@
   if (!g->home || !fk_alive(c, g->home))
     return g->machines->len && fk_time_between(c->started, c->now) > 1.0 &&
            g_str_equal(fk_group_preferred(c, g), c->settings->node);
-  if (*taken_back >= BACK_MAX || fk_time_between(c->ready_since, c->now) < SETTLED_S ||
+  if (*taken_back >= BACK_MAX || fk_time_between(well_since(c), c->now) < SETTLED_S ||
       !fk_time_reached(c->now, g->lost_until) || !fk_time_reached(c->now, c->take_back_after) ||
       !g_str_equal(fk_group_preferred(c, g), c->settings->node))
     return FALSE;
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -358,9 +358,34 @@
 }
 
 /* Ends that a home writes down count against the chunk's bookings, until the chunk says so itself. */
+/* What was taken while we couldn't reach the store is taken back soon; what was taken from us while we were
+ * well is left where it is: its workers can't reach us. */
+static void test_taken_back(void) {
+  for (guint outage = 0; outage < 2; outage++) {
+    Rig *r = rig_new(TRUE);
+    for (guint i = 0; i < 30; i++) {
+      tick(r, 0.5);
+      watched(r, NULL);
+    }
+    if (outage)
+      tick(r, 8);
+    g_autofree char *claim = group_key("g");
+    watched(r, (const char *const[]){claim, "{\"node\":\"c-2\",\"life\":\"y\"}", NULL});
+    g_ptr_array_set_size(r->outs, 0);
+    double back = -1;
+    for (double s = 0; s < 30 && back < 0; s += 0.5) {
+      tick(r, 0.5);
+      watched(r, NULL);
+      back = find(r, FK_OUT_COMMIT, claim) ? s : -1;
+    }
+    g_assert_true(outage ? back >= 9 && back < 15 : back < 0);
+    rig_free(r);
+  }
+}
+
 /* A home that loses its workers must notice before it marks any: the one with a service had been quiet for a
- * while, was asked just after the cut, and would be judged while the others still count as heard lately. Should
- * it alone be lost, it is marked. */
+ * while, was asked just after the cut, and would be judged while the others still count as heard lately.
+ * Should it alone be lost, it is marked. */
 static void test_home_cut_off(void) {
   for (guint cut = 0; cut < 2; cut++) {
     Rig *r = rig_new(TRUE);
@@ -631,6 +656,7 @@
   g_test_add_func("/core/groups", test_groups);
   g_test_add_func("/core/came_back", test_came_back);
   g_test_add_func("/core/silent_by_zone", test_silent_by_zone);
+  g_test_add_func("/core/taken_back", test_taken_back);
   g_test_add_func("/core/home_cut_off", test_home_cut_off);
   g_test_add_func("/core/told", test_told);
   g_test_add_func("/core/given_up", test_given_up);
