--- a/test/test_core.c
+++ b/test/test_core.c
@@ -312,6 +312,19 @@
   }
 }
 
+/* No machine answers what it is asked; whether one was then marked in the page. */
+static gboolean marked_unanswered(Rig *r, const char *page) {
+  for (guint i = 0; i < r->outs->len; i++) {
+    FkOut *o = r->outs->pdata[i];
+    if (o->kind == FK_OUT_COMMANDS)
+      fk_controller_commanded(r->c, r->now, o->call, FK_UNKNOWN, NULL);
+  }
+  gboolean marked = find(r, FK_OUT_COMMIT, page) != NULL;
+  g_ptr_array_set_size(r->outs, 0);
+  watched(r, NULL);
+  return marked;
+}
+
 /* A home that hears its own zone and none of another is cut off from that one: marking its machines silent
  * would give them all back, with what runs there. One quiet machine among others is silent. */
 static void test_silent_by_zone(void) {
@@ -343,14 +356,7 @@
         if (!cut_off || (cut_off >= 2 && step < 20) || (heals && (i || (cut_off == 3 && step > 104))))
           report_of(r, north->pdata[i], "north", 1 + step);
       tick(r, 0.5);
-      for (guint i = 0; i < r->outs->len; i++) {
-        FkOut *o = r->outs->pdata[i];
-        if (o->kind == FK_OUT_COMMANDS)
-          fk_controller_commanded(r->c, r->now, o->call, FK_UNKNOWN, NULL);
-      }
-      marked = find(r, FK_OUT_COMMIT, page) != NULL;
-      g_ptr_array_set_size(r->outs, 0);
-      watched(r, NULL);
+      marked = marked_unanswered(r, page);
     }
     g_assert_cmpint(marked, ==, !cut_off || cut_off == 4);
     rig_free(r);
@@ -401,14 +407,7 @@
       if (step < 160)
         report_of(r, ids->pdata[0], "north", 1 + step);
       tick(r, 0.1);
-      for (guint i = 0; i < r->outs->len; i++) {
-        FkOut *o = r->outs->pdata[i];
-        if (o->kind == FK_OUT_COMMANDS)
-          fk_controller_commanded(r->c, r->now, o->call, FK_UNKNOWN, NULL);
-      }
-      marked = find(r, FK_OUT_COMMIT, page) != NULL;
-      g_ptr_array_set_size(r->outs, 0);
-      watched(r, NULL);
+      marked = marked_unanswered(r, page);
     }
     g_assert_cmpint(marked, ==, !cut);
     rig_free(r);
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -25,11 +25,11 @@
 } Case;
 
 #define DAY .seconds = 260, .cancels = TRUE, .machines = 12
+#define ALL_OF(s)                                                                                            \
+  .seconds = s, .lost = 0.03, .late = 0.03, .kills = TRUE, .cuts = TRUE, .outages = TRUE, .deaths = TRUE,    \
+  .hangs = TRUE, .cancels = TRUE, .gangs = TRUE
 #define ALL                                                                                                  \
-  {                                                                                                          \
-    .seconds = 300, .lost = 0.03, .late = 0.03, .kills = TRUE, .cuts = TRUE, .outages = TRUE,                \
-    .deaths = TRUE, .hangs = TRUE, .cancels = TRUE, .gangs = TRUE, .machines = 12                            \
-  }
+  { ALL_OF(300), .machines = 12 }
 
 #define FIVE .controllers = 5, .more = TRUE
 
@@ -90,24 +90,7 @@
     {"zones", 40, FALSE, {DAY, .masses = TRUE, .late = 0.02, .scale = 2}},
     {"masses", 30, FALSE, {DAY, .masses = TRUE, .kills = TRUE, .deaths = TRUE, .hangs = TRUE, .up = 24}},
     /* and all else beside it */
-    {"masses_all",
-     40,
-     FALSE,
-     {.seconds = 300,
-      .lost = 0.03,
-      .late = 0.03,
-      .kills = TRUE,
-      .cuts = TRUE,
-      .outages = TRUE,
-      .deaths = TRUE,
-      .hangs = TRUE,
-      .cancels = TRUE,
-      .gangs = TRUE,
-      .masses = TRUE,
-      .machines = 20,
-      .up = 12,
-      .scale = 2,
-      FIVE}},
+    {"masses_all", 40, FALSE, {ALL_OF(300), .masses = TRUE, .machines = 20, .up = 12, .scale = 2, FIVE}},
     /* wrong_place: a gang's launch went on after a member had left, with the same attempt number */
     {"gangs", 0, FALSE, ALL, 78},
     /* ran_twice: a home cut off from the store released by lease, its release came through late, another
