Read again: one bound for a transaction's writes, names and comments where they belong

No change of behaviour: fk_batch_displace had the bound of fk_batch_no_more_chunks once more; the largest task that is sampled for was called the least; a comment had been parted from its line; one condition stood twice in set_job; a field that nobody read and an include go.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -94,8 +94,13 @@
 
 /* What is built goes out at once: a launch that waits for its turn in the budget is out of date by then. So
  * no more chunks are opened than there are writes free; further tasks of those that are open cost nothing. */
+static gboolean takes_writes(FkController *c, const FkBatch *b, guint more) {
+  return (b->txn ? b->txn->writes->len : 0) + more <=
+         MIN(c->settings->txn_ops, MAX(FK_LAUNCH_LEAST, c->write_room));
+}
+
 gboolean fk_batch_no_more_chunks(FkController *c, const FkBatch *b) {
-  return b->txn && b->txn->writes->len + 2 > MIN(c->settings->txn_ops, MAX(FK_LAUNCH_LEAST, c->write_room));
+  return b->txn && !takes_writes(c, b, 2);
 }
 
 gboolean fk_batch_full(FkController *c, const FkBatch *b) {
@@ -197,10 +202,9 @@
 }
 
 gboolean fk_batch_displace(FkController *c, FkBatch *b, FkJob *j, FkMachine *m, const GArray *victims) {
-  guint writes = b->txn ? b->txn->writes->len : 0, guards = b->txn ? b->txn->guards->len : 0;
-  if (writes + victims->len + 2 > MIN(c->settings->txn_ops, MAX(FK_LAUNCH_LEAST, c->write_room)) ||
-      guards + 2 * victims->len + 6 > c->settings->txn_ops * 4 || fk_batch_full(c, b) ||
-      !fk_batch_book(c, b, j, m))
+  guint guards = b->txn ? b->txn->guards->len : 0;
+  if (!takes_writes(c, b, victims->len + 2) || guards + 2 * victims->len + 6 > c->settings->txn_ops * 4 ||
+      fk_batch_full(c, b) || !fk_batch_book(c, b, j, m))
     return FALSE;
   for (guint i = 0; i < victims->len; i++) {
     const FkBookRef *v = &g_array_index(victims, FkBookRef, i);
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -368,9 +368,9 @@
     c->confirmed = sent;
   if (c->sync == FK_SYNC_CATCHING_UP && c->view->applied.n >= c->catch_up.n)
     became_ready(c);
+  tell_those_waiting(c);
   /* A short pause lets several changes come in one answer: the watch's share of the request budget stays
    * small. */
-  tell_those_waiting(c);
   watch_next(c, events->len ? MAX(0.02, fk_controllers(c) / (WATCH_SHARE * c->settings->state_rps)) : 0);
   if (fk_ready(c)) {
     metered(c, FK_COST_CLAIMS, fk_claims_tick);
@@ -455,7 +455,6 @@
   FkSpec *spec;
   FkTime since;
   guint tries;
-  gboolean stale; /* what the view says of it was found out of date */
 } Ask;
 
 const char *fk_controller_seen(FkController *c, FkTime now, FkRev *seen, FkRev *applied,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -30,9 +30,8 @@
   double slack;         /* times a task's run time that must be left before its job is due */
   double spot_patience; /* share of its patience that a task waits before a spot machine is rented for it */
   double silent_s;      /* a machine not heard for so long is replaced; 0: derived from `report_s` */
-  double
-      tell_after_s;  /* a cancellation is told after this although a controller can't be asked; see tell.c */
-  FkDoorWishes door; /* the front door; 0: derived from the controller's resources */
+  double tell_after_s;  /* the longest that a cancellation's answer waits for a controller; see tell.c */
+  FkDoorWishes door;    /* the front door; 0: derived from the controller's resources */
 } FkTuning;
 
 typedef struct {
--- a/src/core/short.c
+++ b/src/core/short.c
@@ -157,23 +157,23 @@
  * enough for every probe and half as many again: the others run empty, and can be returned. */
 static void keep_preferred(FkController *c, GPtrArray *open, GPtrArray *jobs) {
   double probes = 0;
-  const FkSpec *least = NULL;
+  const FkSpec *largest = NULL;
   for (guint i = 0; i < jobs->len; i++) {
     const FkJob *j = jobs->pdata[i];
     if (fk_spec_long(c, j->spec) || !short_is_ours(c, j))
       continue;
     probes += fk_job_waiting(j) * c->settings->tuning.probe_ratio;
-    if (!least || j->spec->cpus > least->cpus)
-      least = j->spec;
+    if (!largest || j->spec->cpus > largest->cpus)
+      largest = j->spec;
   }
   guint keep = 0;
-  for (double slots = 0; least && keep < open->len && (keep < SAMPLED_LEAST || slots < SAMPLED * probes);
+  for (double slots = 0; largest && keep < open->len && (keep < SAMPLED_LEAST || slots < SAMPLED * probes);
        keep++) {
     const FkMachine *m = open->pdata[keep];
     const FkType *t = fk_type_of(c, m);
-    slots += t && least->cpus > 0 ? floor((t->cpus - m->cpus - m->pend_cpus) / least->cpus + FK_EPS) : 1;
+    slots += t && largest->cpus > 0 ? floor((t->cpus - m->cpus - m->pend_cpus) / largest->cpus + FK_EPS) : 1;
   }
-  if (least && keep < open->len)
+  if (largest && keep < open->len)
     g_ptr_array_set_size(open, (gint)keep);
 }
 
--- a/src/core/tell.c
+++ b/src/core/tell.c
@@ -19,8 +19,6 @@
  * reads a store that is no older. */
 #include "core/internal.h"
 
-#include <string.h>
-
 struct FkTell {
   GHashTable *applied; /* controller -> FkRev*: the latest revision that it is known to have applied */
 };
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -666,13 +666,13 @@
       v->services_seen += MIN(j->spec->tasks, 8);
     }
   }
-  if (r->cancelled && !j->cancelled)
+  if (r->cancelled && !j->cancelled) {
+    j->cancel_seen = v->now;
     for (guint32 i = 0; i < j->n_chunks; i++)
       if (j->chunks[i])
         for (guint k = 0; k < j->chunks[i]->bookings->len; k++)
           touch(v, fk_view_machine_ensure(v, g_array_index(j->chunks[i]->bookings, FkBooking, k).machine));
-  if (r->cancelled && !j->cancelled)
-    j->cancel_seen = v->now;
+  }
   j->cancelled = r->cancelled;
   j->rev = rev;
 }
