--- a/test/sim.c
+++ b/src/lab/world.c
@@ -1,8 +1,8 @@
-#include "sim.h"
+#include "lab/world.h"
 
 #include <string.h>
 
-#include "check_view.h"
+#include "lab/check_view.h"
 #include "wire/store.h"
 
 #define N_MAX 5
@@ -1316,7 +1316,7 @@
     m->r.cancelled += j->told_cancelled;
     if (j->accepted && j->shape != FK_SHAPE_SERVICE && !j->told_done && !j->asked_cancel) {
       m->r.unfinished++;
-      g_test_message("unfinished: %s shape %d tasks %u", j->id, j->shape, j->tasks);
+      g_message("unfinished: %s shape %d tasks %u", j->id, j->shape, j->tasks);
     }
   }
   SimResult r = m->r;
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -2,7 +2,7 @@
  */
 #include <string.h>
 
-#include "sim.h"
+#include "lab/world.h"
 #include "wire/settings.h"
 
 static FkSettings *settings(void) {
