flaxknot-lab recovery: growth at 500, 2,000, 8,000 machines; room rented for silent machines

Need: nobody knew how recovery grows with the fleet. The world of the schedules (src/lab) got an experiment, and a program of its own: flaxknot-lab recovery plays a service on each machine and the loss of a fifth of them at once. Seen (our own world, 60 writes a second, 5 controllers, replacements boot in 1-8 s): the last replica was back after 19, 53 and 315 s. Cause: machines with services are given up 30 replicas at a time, and room was rented only for those already given up, so that where no machine had room it was one boot after the other. Change: the plan of what to rent counts the services on all machines gone silent at once. The world's workers no longer report after 5 s when they have been answered (their timer of the last report still ran: with long report intervals they wandered from controller to controller).

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -522,6 +522,22 @@
   g_array_append_val(bins->hire, h);
 }
 
+/* Room for so many tasks like this at once, hired where there is none. */
+static void plan_room(FkController *c, Bins *bins, const FkSpec *s, guint want) {
+  while (want) {
+    int at = bin_earliest(bins, s);
+    Offer offer;
+    if (at < 0) {
+      if (!bin_offer(c, s, want, FALSE, &offer))
+        return;
+      plan_hire(bins, &offer, want);
+      if ((at = bin_earliest(bins, s)) < 0)
+        return;
+    }
+    want -= bin_use(bins, at, s, want, 0);
+  }
+}
+
 /* Headroom for services: room for the next ones, or work there that they may displace. */
 static void plan_headroom(FkController *c, Bins *bins) {
   GHashTableIter it;
@@ -529,19 +545,26 @@
   g_hash_table_iter_init(&it, c->fleet->rates);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     Rate *r = p;
-    guint want = (guint)CLAMP(ceil(r->rate * c->settings->tuning.headroom_s), 1, 2000) *
-                 MAX(1, MIN(r->spec->tasks, 8));
-    while (want) {
-      int at = bin_earliest(bins, r->spec);
-      Offer offer;
-      if (at < 0) {
-        if (!bin_offer(c, r->spec, want, FALSE, &offer))
-          break;
-        plan_hire(bins, &offer, want);
-        if ((at = bin_earliest(bins, r->spec)) < 0)
-          break;
-      }
-      want -= bin_use(bins, at, r->spec, want, 0);
+    plan_room(c, bins, r->spec,
+              (guint)CLAMP(ceil(r->rate * c->settings->tuning.headroom_s), 1, 2000) *
+                  MAX(1, MIN(r->spec->tasks, 8)));
+  }
+}
+
+/* Room for the services on machines that have gone silent, all of them at once: their machines are given up
+ * no faster than they can be started elsewhere, and where no machine has room for them that would be one boot
+ * after the other (a fifth of 8,000 machines took 315 s). Should the machines be heard again, what was rented
+ * is idle, and goes. */
+static void plan_silent(FkController *c, Bins *bins) {
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    const FkMachine *m = p;
+    for (guint i = 0; m->rec && g_strcmp0(m->mark, "silent") == 0 && i < m->books->len; i++) {
+      const FkJob *j = g_array_index(m->books, FkBookRef, i).job;
+      if (j->spec->shape == FK_SHAPE_SERVICE && !j->cancelled)
+        plan_room(c, bins, j->spec, 1);
     }
   }
 }
@@ -583,6 +606,7 @@
     if (fk_job_waiting(p) && fk_settings_team(c->settings, ((FkJob *)p)->spec->team))
       g_ptr_array_add(jobs, p);
   g_ptr_array_sort(jobs, rank_order);
+  plan_silent(c, bins);
   plan_headroom(c, bins);
   g_autoptr(GHashTable) planned =
       g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free); /* team -> cpus */
--- /dev/null
+++ b/src/lab/main.c
@@ -0,0 +1,33 @@
+/* flaxknot-lab SUBCOMMAND: experiments in a small world of its own. */
+#include <stdio.h>
+#include <string.h>
+
+#include "lab/recovery.h"
+
+static const struct {
+  const char *name, *what;
+  int (*run)(int argc, char **argv);
+} subcommands[] = {
+    {"recovery", "how long a fleet takes to recover from the loss of many machines", fk_lab_recovery}};
+
+static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING) || g_getenv("LOG_LEVEL"))
+    g_log_default_handler(domain, level, text, data);
+}
+
+static void usage(FILE *to) {
+  fprintf(to, "Usage: flaxknot-lab SUBCOMMAND [OPTIONS]\n\n");
+  for (guint i = 0; i < G_N_ELEMENTS(subcommands); i++)
+    fprintf(to, "  %-10s %s\n", subcommands[i].name, subcommands[i].what);
+  fprintf(to, "\nflaxknot-lab SUBCOMMAND --help says more. LOG_LEVEL set: what the controllers log.\n");
+}
+
+int main(int argc, char **argv) {
+  g_log_set_default_handler(quiet, NULL);
+  for (guint i = 0; argc > 1 && i < G_N_ELEMENTS(subcommands); i++)
+    if (!strcmp(argv[1], subcommands[i].name))
+      return subcommands[i].run(argc - 1, argv + 1);
+  gboolean help = argc > 1 && (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"));
+  usage(help ? stdout : stderr);
+  return help ? FK_LAB_OK : FK_LAB_USAGE;
+}
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -64,6 +64,7 @@
   gint64 cancelled_at, done_at, accepted_at;
   guint8 *finished;
   double run_s;
+  gboolean lost; /* its machine was lost, and it isn't back */
 } UJob;
 
 typedef struct {
@@ -102,6 +103,9 @@
   GHashTable *by_id, *job_by_id;
   GHashTable *requests; /* number -> Req */
   GHashTable *truth;    /* "job/task" -> Worker: where it is */
+  gint64 lost_at;       /* when the share of the machines was lost; 0: not yet */
+  gboolean over;        /* what the experiment waits for has happened */
+  gint64 core_ns;       /* spent in the controllers' cores since then */
   SimResult r;
 };
 
@@ -135,9 +139,22 @@
                                   m->plan.seed);
 }
 
-static FkTime ctl_now(Sim *m, int i) {
-  /* the steady clocks drift apart */
-  return (FkTime){1000000 + (gint64)(m->now * (1 + 0.0005 * (i - 1)))};
+/* The steady clocks drift apart: by all that is allowed, one fast and the others slow, or each a little more
+ * than the one before. */
+static FkTime ctl_time(const Sim *m, int i, gint64 when) {
+  double off = m->plan.clocks ? (i % 2 ? 0.0005 : -0.0005) : 0.0005 * (i - 1);
+  return (FkTime){1000000 + (gint64)((double)when * (1 + off))};
+}
+
+static FkTime ctl_now(Sim *m, int i) { return ctl_time(m, i, m->now); }
+
+/* The cores' processor time is counted from here ... */
+static gint64 core_begins(const Sim *m) { return m->lost_at && m->plan.clock_ns ? m->plan.clock_ns() : 0; }
+
+/* ... to here. */
+static void core_ends(Sim *m, gint64 began) {
+  if (began)
+    m->core_ns += m->plan.clock_ns() - began;
 }
 
 static const char *ctl_zone(int i) { return i == 1 ? "south" : "north"; }
@@ -272,9 +289,10 @@
   c->answered = TRUE;
   FkController *core = m->ctl[c->ctl].core;
   FkTime now = ctl_now(m, c->ctl);
-  FkTime sent = {1000000 + (gint64)(c->sent * (1 + 0.0005 * (c->ctl - 1)))};
+  FkTime sent = ctl_time(m, c->ctl, c->sent);
   g_autoptr(GPtrArray) empty = g_ptr_array_new();
   GPtrArray *l = list ? list : empty;
+  gint64 began = core_begins(m);
   switch (c->out->kind) {
   case FK_OUT_COMMIT:
     fk_controller_committed(core, now, c->out->call, o, epoch, l);
@@ -320,6 +338,7 @@
   default:
     fk_controller_returned(core, now, c->out->call, o);
   }
+  core_ends(m, began);
   fk_report_free(report);
   if (list)
     g_ptr_array_unref(list);
@@ -394,6 +413,10 @@
   m->write_tokens -= writes;
   m->r.requests++;
   m->r.writes += writes;
+  if (m->lost_at) {
+    m->r.recovery.requests++;
+    m->r.recovery.writes += writes;
+  }
   return TRUE;
 }
 
@@ -530,6 +553,24 @@
   int step;
 } Step;
 
+/* One of the replicas that were lost together runs again. */
+static void came_back(Sim *m, UJob *j) {
+  SimRecovery *r = &m->r.recovery;
+  if (!j->lost)
+    return;
+  j->lost = FALSE;
+  double s = (double)(m->now - m->lost_at) / 1e6;
+  if (!r->back++)
+    r->first_s = s;
+  if (r->back == (r->lost + 1) / 2)
+    r->half_s = s;
+  r->last_s = s;
+  if (r->back == r->lost) {
+    r->core_ms = (double)m->core_ns / 1e6;
+    m->over = TRUE;
+  }
+}
+
 static void check_start(Sim *m, Worker *w, WTask *t) {
   g_debug("WORLD %.3f %s/%u try %" G_GUINT64_FORMAT " starts on %s session %" G_GUINT64_FORMAT
           " token %" G_GUINT64_FORMAT,
@@ -590,6 +631,7 @@
     t->on = TRUE;
     t->state = FK_TASK_RUNNING;
     s->step = 1;
+    came_back(m, j);
     if (w->sick || j->finished[t->task] || j->shape != FK_SHAPE_SERVICE) {
       after(m, j->finished[t->task] ? 0 : w->sick ? 0.5 : j->run_s * between(m, 0.5, 1.5), step, s);
       return;
@@ -717,7 +759,9 @@
   if (c->core && c->gen == h->gen) {
     guint64 id = ++m->next_req;
     g_hash_table_insert(m->requests, g_memdup2(&id, sizeof id), h->req);
+    gint64 began = core_begins(m);
     fk_controller_report(c->core, ctl_now(m, h->ctl), (FkRequest){id}, h->report);
+    core_ends(m, began);
     drain(m, h->ctl);
   } else {
     fk_report_free(h->report);
@@ -766,8 +810,8 @@
   Worker *w = r->w;
   if (!w->gone && !hung(m, w) && w->inflight == r->req.report && m->now - r->req.sent.us < 4000000) {
     check_lease(m, w);
-    guint64 report = r->req.report;
-    if (w->inflight == report) {
+    if (w->inflight == r->req.report) {
+      guint64 report = w->inflight = ++m->next_serial; /* answered: its time can't run out any more */
       if (r->status == 200) {
         if (r->token.n >= w->token && r->req.session == w->session) {
           w->token = r->token.n;
@@ -812,7 +856,8 @@
   w->sick = m->plan.deaths && chance(m, 0.1);
   g_ptr_array_add(m->workers, w);
   g_hash_table_insert(m->by_id, w->id, w);
-  after(m, boot, boots, w);
+  if (boot < 0.6 || !chance(m, m->plan.stillborn))
+    after(m, boot, boots, w);
   return w;
 }
 
@@ -834,6 +879,7 @@
     break;
   }
   case FK_OUT_RENT: {
+    m->r.recovery.rents += m->lost_at > 0;
     GPtrArray *names = g_hash_table_lookup(m->hires, o->name);
     if (!names) {
       guint here = 0;
@@ -852,6 +898,7 @@
     break;
   }
   case FK_OUT_RETURN:
+    m->r.recovery.returns += m->lost_at > 0;
     for (guint i = 0; i < o->names->len; i++) {
       Worker *w = worker_of(m, o->names->pdata[i]);
       if (w && !w->gone) {
@@ -995,6 +1042,31 @@
   after(m, between(m, 0.5, 3), user_acts, j);
 }
 
+/* A service of one task, alone in being asked for: its user comes again until it is accepted, then no more.
+ */
+static void service_asked(Sim *m, gpointer p) {
+  UJob *j = p;
+  if (j->accepted)
+    return;
+  ask(m, j, SUBMIT);
+  after(m, between(m, 0.5, 3), service_asked, j);
+}
+
+static void submit_services(Sim *m) {
+  for (guint i = 0; i < m->plan.services; i++) {
+    UJob *j = g_new0(UJob, 1);
+    j->id = g_strdup_printf("run-%06u", m->r.submitted++);
+    j->team = g_strdup(i % 2 ? "red" : "blue");
+    j->shape = FK_SHAPE_SERVICE;
+    j->tasks = 1;
+    j->cpus = 8; /* a machine each */
+    j->finished = g_new0(guint8, 1);
+    g_ptr_array_add(m->jobs, j);
+    g_hash_table_insert(m->job_by_id, j->id, j);
+    after(m, between(m, 1, 0.6 * m->plan.loss_at), service_asked, j);
+  }
+}
+
 static void user_submits(Sim *m, gpointer p) {
   UJob *j = g_new0(UJob, 1);
   j->id = g_strdup_printf("run-%06u", m->r.submitted++);
@@ -1032,7 +1104,7 @@
   const char *life = fk_controller_seen(m->ctl[to].core, ctl_now(m, to), &seen, &applied, &age_s);
   c->answered = TRUE;
   fk_controller_peer(m->ctl[c->ctl].core, ctl_now(m, c->ctl), c->out->name, life, seen, applied, age_s,
-                     (FkTime){1000000 + (gint64)(c->sent * (1 + 0.0005 * (c->ctl - 1)))});
+                     ctl_time(m, c->ctl, c->sent));
   drain(m, c->ctl);
 }
 
@@ -1134,7 +1206,9 @@
 static void tick(Sim *m, gpointer p) {
   int i = GPOINTER_TO_INT(p);
   if (m->ctl[i].core) {
+    gint64 began = core_begins(m);
     fk_controller_tick(m->ctl[i].core, ctl_now(m, i), m->now + 5000000);
+    core_ends(m, began);
     drain(m, i);
   }
   after(m, 0.1, tick, p);
@@ -1175,6 +1249,34 @@
   }
 }
 
+/* The growth experiment's loss: just so many machines, whatever runs there. */
+static void lose_a_share(Sim *m, gpointer p) {
+  SimRecovery *r = &m->r.recovery;
+  guint here = 0, seen = 0;
+  for (guint i = 0; i < m->workers->len; i++)
+    here += !((Worker *)m->workers->pdata[i])->gone;
+  guint every = (guint)MAX(1, 1 / m->plan.loss_share + 0.5);
+  r->up = g_hash_table_size(m->truth);
+  m->lost_at = m->now;
+  for (guint i = 0; i < m->workers->len; i++) {
+    Worker *w = m->workers->pdata[i];
+    if (w->gone || seen++ % every)
+      continue;
+    for (guint k = 0; k < w->tasks->len; k++) {
+      WTask *t = w->tasks->pdata[k];
+      if (t->on)
+        r->lost += job_of(m, t->job)->lost = TRUE;
+    }
+    if (m->plan.loss_hangs) {
+      w->hung = m->now + (gint64)1e12; /* for good */
+    } else {
+      wipe(m, w);
+      w->gone = TRUE;
+    }
+  }
+  g_debug("WORLD %.3f of %u machines %u are lost", m->now / 1e6, here, seen / every);
+}
+
 static void cut_a_zone(Sim *m) {
   static const double times[] = {0.5, 1, 1.5};
   double s = times[g_rand_int_range(m->rand, 0, 3)] * (chance(m, 0.5) ? m->s->lease_s : m->s->cancel_s);
@@ -1300,10 +1402,15 @@
   }
   for (guint i = 0; i < MAX(3, plan->up); i++)
     new_worker(m, i % 3 ? "north" : "south", i % 3 == 2, 0.5);
-  after(m, 1, user_submits, NULL);
   after(m, 1, world_tick, NULL);
-  after(m, 20, trouble, NULL);
-  while (m->now < (gint64)(plan->seconds * 1e6) && !m->r.broken) {
+  if (plan->services) {
+    submit_services(m);
+    after(m, plan->loss_at, lose_a_share, NULL);
+  } else {
+    after(m, 1, user_submits, NULL);
+    after(m, 20, trouble, NULL);
+  }
+  while (m->now < (gint64)(plan->seconds * 1e6) && !m->r.broken && !m->over) {
     GSequenceIter *it = g_sequence_get_begin_iter(m->events);
     Event e = *(Event *)g_sequence_get(it);
     g_sequence_remove(it);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -19,13 +19,35 @@
   gboolean budgets;  /* the store refuses what is over its rates */
   gboolean masses;   /* zones are cut off, many machines die or hang at once */
   gboolean more;     /* a slow store, one controller alone refused, controllers that refuse each other */
+  double stillborn;  /* chance that a rented machine never comes up */
+  gboolean clocks;   /* the steady clocks are off by all that PROTOCOL allows, in turn */
+  /* The growth experiment: nothing but so many services of one task, all up when a share of the machines is
+   * lost at once. */
+  guint services;
+  double loss_at, loss_share;
+  gboolean loss_hangs; /* they hang instead of dying */
+  /* What one core time is spent in is asked of this clock, in ns; NULL: it isn't measured. */
+  gint64 (*clock_ns)(void);
 } SimPlan;
 
+/* What a loss of many machines cost, from the moment of the loss to the last replica's start; seconds are
+ * simulated ones. */
+typedef struct {
+  guint up;   /* services up just before */
+  guint lost; /* of them, those whose machine was lost */
+  guint back; /* of those, the ones that run again */
+  double first_s, half_s, last_s;
+  guint requests, writes; /* at the store */
+  guint returns, rents;   /* calls at the cloud */
+  double core_ms;         /* processor time of all controllers' cores, in real milliseconds */
+} SimRecovery;
+
 typedef struct {
   guint submitted, accepted, done, cancelled, started, finished;
   guint unfinished;
   guint requests, writes, refused; /* at the store */
   char *broken;                    /* the first broken rule, or NULL */
+  SimRecovery recovery;
 } SimResult;
 
 SimResult sim_run(const FkSettings *s, const SimPlan *plan);
