A silent machine with many services has its turn; accounts of the money; three more schedules

A machine with more services than the pace waited until nothing else had no place, and all marked after it waited with it. Change: machines are given up while less than the pace is without a place; the last one may go beyond. The pace and what is to be placed are in a file of their own, core/recover.c. Also: core/money.c, a line a window of where the money goes (needed, dearer machines, partly empty, idle, booting, going; core-seconds lost).

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -920,6 +920,7 @@
   c->types = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fk_type_free);
   c->heard = g_array_new(FALSE, FALSE, sizeof(FkHeard));
   c->fleet = fk_fleet_new();
+  c->money = fk_money_new();
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
   c->window_end = fk_time_add(now, s->tuning.window_s);
   c->store_ok = now;
@@ -956,6 +957,7 @@
   g_array_unref(c->pending);
   g_hash_table_unref(c->types);
   fk_fleet_free(c->fleet);
+  fk_money_free(c->money);
   fk_view_free(c->view);
   g_rand_free(c->rand);
   g_free(c->list_after);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -103,6 +103,23 @@
   c->fleet = fk_fleet_new();
 }
 
+double fk_fleet_boot_price(FkController *c) {
+  double price = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->fleet->booting);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    const Booting *b = p;
+    const FkType *t = g_hash_table_lookup(c->types, b->type);
+    price += t ? (b->spot ? t->spot_price : t->price) : 0;
+  }
+  return price;
+}
+
+gboolean fk_fleet_going(FkController *c, const FkMachine *m) {
+  return g_hash_table_contains(c->fleet->gone, m->id) || g_hash_table_contains(c->fleet->returning, m->id);
+}
+
 static char *offer_key(const char *type, const char *zone, gboolean spot) {
   return g_strdup_printf("%s/%s/%d", type, zone, spot);
 }
@@ -551,22 +568,10 @@
   }
 }
 
-/* Room for the services on machines that have gone silent, all of them at once: their machines are given up
- * no faster than they can be started elsewhere, and where no machine has room for them that would be one boot
- * after the other (a fifth of 8,000 machines took 315 s). Should the machines be heard again, what was rented
- * is idle, and goes. */
-static void plan_silent(FkController *c, Bins *bins) {
-  GHashTableIter it;
-  gpointer p;
-  g_hash_table_iter_init(&it, c->view->machines);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    const FkMachine *m = p;
-    for (guint i = 0; m->rec && g_strcmp0(m->mark, "silent") == 0 && i < m->books->len; i++) {
-      const FkJob *j = g_array_index(m->books, FkBookRef, i).job;
-      if (j->spec->shape == FK_SHAPE_SERVICE && !j->cancelled)
-        plan_room(c, bins, j->spec, 1);
-    }
-  }
+static void plan_recovery(FkController *c, Bins *bins) {
+  g_autoptr(GPtrArray) jobs = fk_recover_to_place(c);
+  for (guint i = 0; i < jobs->len; i++)
+    plan_room(c, bins, ((FkJob *)jobs->pdata[i])->spec, 1);
 }
 
 static void plan_job(FkController *c, Bins *bins, FkJob *j, double *used) {
@@ -606,7 +611,7 @@
     if (fk_job_waiting(p) && fk_settings_team(c->settings, ((FkJob *)p)->spec->team))
       g_ptr_array_add(jobs, p);
   g_ptr_array_sort(jobs, rank_order);
-  plan_silent(c, bins);
+  plan_recovery(c, bins);
   plan_headroom(c, bins);
   g_autoptr(GHashTable) planned =
       g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free); /* team -> cpus */
@@ -670,58 +675,6 @@
   return fk_time_between(*(FkTime *)when, *(FkTime *)now) > GONE_KEPT_S;
 }
 
-/* A service that can't be reached still serves until its lease ends or its machine is returned. So a machine
- * that has gone silent with services on it is given up no faster than they can be started elsewhere: were it
- * dead, they would wait for the store's writes instead; should it only be cut off, they go on until their
- * turn, and those whose turn doesn't come before it is heard again aren't lost at all. */
-#define UNPLACED_S 0.5 /* seconds' worth of the store's writes: so many services may be without a place */
-
-static guint services_on(const FkMachine *m) {
-  guint n = 0;
-  for (guint i = 0; i < m->books->len; i++) {
-    const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
-    n += b->job->spec->shape == FK_SHAPE_SERVICE && !b->job->cancelled;
-  }
-  return n;
-}
-
-/* Services that wait for a place, or whose place is being given up. */
-static guint unplaced(FkController *c) {
-  guint n = 0;
-  GHashTableIter it;
-  gpointer p;
-  g_hash_table_iter_init(&it, c->view->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &p))
-    n += ((FkJob *)p)->spec->shape == FK_SHAPE_SERVICE ? fk_job_waiting(p) : 0;
-  g_hash_table_iter_init(&it, c->view->machines);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    const FkMachine *m = p;
-    if (g_hash_table_contains(c->fleet->gone, m->id) || g_hash_table_contains(c->fleet->returning, m->id))
-      n += services_on(m);
-  }
-  return n;
-}
-
-static int longest_marked(gconstpointer a, gconstpointer b) {
-  const FkMachine *x = *(FkMachine *const *)a, *y = *(FkMachine *const *)b;
-  return x->mark_seen.us != y->mark_seen.us ? (x->mark_seen.us < y->mark_seen.us ? -1 : 1)
-                                            : g_strcmp0(x->id, y->id);
-}
-
-static void give_up_serving(FkController *c, GPtrArray *serving, GPtrArray *names) {
-  if (!serving->len)
-    return;
-  guint without = unplaced(c), most = (guint)MAX(2, UNPLACED_S * c->settings->state_write_rps);
-  g_ptr_array_sort(serving, longest_marked);
-  for (guint i = 0; i < serving->len && names->len < RETURN_MAX; i++) {
-    const FkMachine *m = serving->pdata[i];
-    without += services_on(m);
-    if (without > most && without > services_on(m))
-      return;
-    g_ptr_array_add(names, g_strdup(m->id));
-  }
-}
-
 static void return_some(FkController *c) {
   FkFleet *f = c->fleet;
   g_hash_table_foreach_remove(f->gone, long_gone, &c->now);
@@ -746,12 +699,12 @@
     if ((g_str_equal(m->mark, "idle") || g_str_equal(m->mark, FK_MARK_DRAIN)) &&
         (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
       continue;
-    if (g_str_equal(m->mark, "silent") && services_on(m))
+    if (g_str_equal(m->mark, "silent") && fk_services_on(m))
       g_ptr_array_add(serving, m);
     else
       g_ptr_array_add(names, g_strdup(m->id));
   }
-  give_up_serving(c, serving, names);
+  fk_recover_give_up(c, serving, names, RETURN_MAX);
   g_hash_table_iter_init(&it, f->booting);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     Booting *b = p;
@@ -816,8 +769,7 @@
 #define LEFT_LEAST 0.6  /* ... of what is left, that it may end after */
 #define SETTLED_S 30.0
 
-/* What room for the task costs where it is cheapest. */
-static double cheapest(FkController *c, const FkSpec *s) {
+double fk_cheapest_price(FkController *c, const FkSpec *s) {
   double best = G_MAXDOUBLE;
   GHashTableIter it;
   gpointer p;
@@ -874,7 +826,7 @@
     const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
     if (!may_move(c, b))
       return 0;
-    need += cheapest(c, b->job->spec);
+    need += fk_cheapest_price(c, b->job->spec);
   }
   return (m->rec->spot ? t->spot_price : t->price) / need;
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -58,6 +58,7 @@
 typedef struct FkFleet FkFleet;
 typedef struct FkEnding FkEnding;
 typedef struct FkTell FkTell;
+typedef struct FkMoney FkMoney;
 
 #define FK_DRIFT 0.0012 /* two clocks, each off by 0.05%, and a little */
 #define FK_MARGIN_S 2.0
@@ -166,6 +167,7 @@
   FkTime led_since;
   FkSizing sizing;
   FkFleet *fleet;
+  FkMoney *money;
   GHashTable *types; /* name -> FkType */
   gboolean types_pending;
   FkTime types_next;
@@ -269,3 +271,27 @@
 void fk_fleet_free(FkFleet *f);
 void fk_fleet_tick(FkController *c);
 void fk_fleet_reset(FkController *c);
+/* The machine is being returned, or the cloud has said that it is gone. */
+gboolean fk_fleet_going(FkController *c, const FkMachine *m);
+
+/* What room for the task costs where it is cheapest, an hour; G_MAXDOUBLE: no type has any. */
+double fk_cheapest_price(FkController *c, const FkSpec *s);
+/* What the machines that are rented and not up yet cost, an hour. */
+double fk_fleet_boot_price(FkController *c);
+
+/* money.c */
+FkMoney *fk_money_new(void);
+void fk_money_free(FkMoney *m);
+/* The leader's look at what its machines are doing. */
+void fk_money_tick(FkController *c);
+/* Logs the accounts since the last time, and starts them anew. */
+void fk_money_tell(FkController *c);
+
+/* recover.c */
+/* Tasks of services booked there that nobody has cancelled. */
+guint fk_services_on(const FkMachine *m);
+/* Adds to `names`, up to `most_names`, the ids of those of the silent machines `serving` (with services, sorted
+ * here) whose turn it is to be returned. */
+void fk_recover_give_up(FkController *c, GPtrArray *serving, GPtrArray *names, guint most_names);
+/* FkJob, borrowed from the view, one for each task of a service on a silent machine: room for them is wanted. */
+GPtrArray *fk_recover_to_place(FkController *c);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -203,6 +203,7 @@
   if (c->leading) {
     size_window(c);
     log_fleet(c);
+    fk_money_tell(c);
   }
 }
 
@@ -412,5 +413,6 @@
   stop_tasks(c);
   FkCost before = fk_meter_enter(&c->meter, FK_COST_FLEET);
   fk_fleet_tick(c);
+  fk_money_tick(c);
   fk_meter_leave(&c->meter, before);
 }
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -535,8 +535,11 @@
     fk_chunk_finish(c, b.task, b.attempt);
   else
     fk_chunk_release(c, b.task, b.attempt);
-  if (!done)
+  if (!done) {
     j->lost_at = v->now;
+    if (b.from_start && j->spec->shape != FK_SHAPE_SERVICE)
+      v->lost_cpu_s += fk_time_between(b.since, v->now) * j->spec->cpus;
+  }
   j->done += done;
 }
 
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -216,6 +216,7 @@
   FkTime service_rated;
   double took_s; /* of arrays' tasks done in this window: from booking to end, summed */
   guint took_count;
+  double lost_cpu_s; /* of arrays' tasks that ended without a result in this window */
   GHashTable *orphans; /* paths of chunks without a job -> FkRev* */
   char *leader, *leader_life;
   FkRev leader_rev;
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -88,7 +88,15 @@
     /* a zone, with a controller in it or without, is cut off for half, all or one and a half times of the
        lease and of the time for a cancellation; many machines die or hang in the same minute */
     {"zones", 40, FALSE, {DAY, .masses = TRUE, .late = 0.02, .scale = 2}},
+    /* ... the clocks off by all that is allowed; the teams' limits used up by what can't be reached */
+    {"zones_clocks", 10, FALSE, {DAY, .masses = TRUE, .late = 0.02, .scale = 2, .clocks = TRUE}},
+    {"zones_quota", 10, FALSE, {DAY, .masses = TRUE, .late = 0.02, .scale = 2}, .limits = 0.3},
     {"masses", 30, FALSE, {DAY, .masses = TRUE, .kills = TRUE, .deaths = TRUE, .hangs = TRUE, .up = 24}},
+    /* ... and what is rented in their place often never comes up */
+    {"stillborn",
+     10,
+     FALSE,
+     {DAY, .masses = TRUE, .kills = TRUE, .hangs = TRUE, .up = 8, .scale = 2, .stillborn = 0.5}},
     /* and all else beside it */
     {"masses_all", 40, FALSE, {ALL_OF(300), .masses = TRUE, .machines = 20, .up = 12, .scale = 2, FIVE}},
     /* wrong_place: a gang's launch went on after a member had left, with the same attempt number */
