A chunk is swept only when the store has no such job; a result counts in every order

A list read while a job was accepted showed its chunk without the job; the note that it was nobody's outlived the job's arrival, and the next leader deleted the living chunk, guarded by its own revision alone. The task started again as attempt 1. And: done and released, written of one attempt by two, were taken in the order in which they were read, so that two views could differ. Change: the deletion is guarded by the absence of the job's record; the note goes when the chunk is seen with its job; results are applied before releases, whatever came first. Conclusion: no deletion may rest on what a view lacks.

--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -244,7 +244,13 @@
     t = fk_txn_new(c, FK_PRIO_RESULT);
     g_hash_table_iter_init(&it, c->view->orphans);
     while (t->writes->len < MIN(c->settings->txn_ops, 12) && g_hash_table_iter_next(&it, &key, &p)) {
+      g_autofree char *id = NULL;
+      guint32 chunk;
+      fk_key_parse(key, &id, &chunk);
       fk_txn_guard(t, g_strdup(key), *(FkRev *)p);
+      /* Only the store says that there is no such job: to a list read page by page, a job accepted meanwhile
+       * is missing, and its first chunk isn't. Deleting that would start its tasks a second time. */
+      fk_txn_guard(t, fk_key(FK_KEY_JOB, id), (FkRev){0});
       fk_txn_delete(t, g_strdup(key));
     }
   }
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -449,19 +449,34 @@
 }
 
 /* What homes have written down counts as long as the chunk has the booking. */
-static gboolean apply_ends(FkChunk *c, const FkEnds *e) {
-  gboolean changed = FALSE;
-  for (guint i = 0; i < MIN(e->done->len, c->count); i++)
-    if (e->done->data[i] && !c->done[i]) {
-      FkBooking *b = fk_chunk_find(c, c->first + i);
-      if (b && fk_chunk_finish(c, b->task, b->attempt))
-        changed = TRUE;
-    }
+static void apply_done(FkChunk *c, const FkEnds *e) {
+  for (guint i = 0; i < MIN(e->done->len, c->count); i++) {
+    const FkBooking *b = e->done->data[i] && !c->done[i] ? fk_chunk_find(c, c->first + i) : NULL;
+    if (b)
+      fk_chunk_finish(c, b->task, b->attempt);
+  }
+}
+
+static void apply_released(FkChunk *c, const FkEnds *e) {
   for (guint i = 0; i < e->released->len; i++) {
     const FkTry *t = &g_array_index(e->released, FkTry, i);
-    changed |= fk_chunk_release(c, t->task, t->attempt);
+    fk_chunk_release(c, t->task, t->attempt);
   }
-  return changed;
+}
+
+/* The chunk's record with all that pages have of it. A home may write down that a task is done while another,
+ * or the leader on the cloud's word, writes down that the same attempt ended: the result counts, whichever
+ * came first. Were it the order, who has read both pages from a list would see another state than who saw
+ * them written. */
+static FkChunk *effective(FkView *v, const FkJob *j, guint32 index) {
+  FkChunk *c = fk_chunk_copy(j->bases[index]);
+  g_autofree char *key = g_strdup_printf("%s/%u", j->spec->id, index);
+  GPtrArray *all = g_hash_table_lookup(v->ends, key);
+  for (guint i = 0; all && i < all->len; i++)
+    apply_done(c, all->pdata[i]);
+  for (guint i = 0; all && i < all->len; i++)
+    apply_released(c, all->pdata[i]);
+  return c;
 }
 
 /* Only the bookings in which the two differ are counted: most of a chunk stays as it was. */
@@ -517,12 +532,7 @@
     return;
   }
   c->rev = rev;
-  FkChunk *now = fk_chunk_copy(c);
-  g_autofree char *key = g_strdup_printf("%s/%u", j->spec->id, index);
-  GPtrArray *all = g_hash_table_lookup(v->ends, key);
-  for (guint i = 0; all && i < all->len; i++)
-    apply_ends(now, all->pdata[i]);
-  put_effective(v, j, index, now);
+  put_effective(v, j, index, effective(v, j, index));
 }
 
 /* A booking has ended, as a home has written down. */
@@ -552,10 +562,19 @@
   if (!j || index >= j->n_chunks || !j->chunks[index])
     return;
   FkChunk *c = j->chunks[index];
+  gboolean released_before = FALSE;
   for (guint i = 0; i < MIN(e->done->len, c->count); i++) {
-    const FkBooking *b = e->done->data[i] && !c->done[i] ? fk_chunk_find(c, c->first + i) : NULL;
+    if (!e->done->data[i] || c->done[i])
+      continue;
+    const FkBooking *b = fk_chunk_find(c, c->first + i);
     if (b)
       end_booking(v, j, c, b, TRUE);
+    else
+      released_before |= fk_chunk_find(j->bases[index], c->first + i) != NULL;
+  }
+  if (released_before) {
+    put_effective(v, j, (guint32)index, effective(v, j, (guint32)index));
+    c = j->chunks[index];
   }
   for (guint i = 0; i < e->released->len; i++) {
     const FkTry *t = &g_array_index(e->released, FkTry, i);
@@ -831,10 +850,10 @@
     FkJob *j = fk_view_job(v, id);
     if (j)
       set_chunk(v, j, chunk, r ? g_steal_pointer(&r->chunk) : NULL, rev);
-    else if (r)
+    if (r && !j)
       g_hash_table_replace(v->orphans, g_strdup(path), g_memdup2(&rev, sizeof rev));
-    if (!r)
-      g_hash_table_remove(v->orphans, path);
+    else
+      g_hash_table_remove(v->orphans, path); /* the job has come since, or the chunk is gone */
     break;
   }
   case FK_KEY_GROUP:
--- a/src/lab/check_view.c
+++ b/src/lab/check_view.c
@@ -11,29 +11,34 @@
 
 static gboolean near(double a, double b) { return fabs(a - b) < 1e-3; }
 
-/* The chunk's record less all ends that pages have of it. */
+/* What the page's entries have of the chunk: what is done, or what has ended without a result. */
+static void take_in(FkChunk *c, const FkEndPage *page, const char *key, gboolean done) {
+  for (guint i = 0; i < page->ends->len; i++) {
+    const FkEnds *e = page->ends->pdata[i];
+    if (!g_str_equal(e->chunk, key))
+      continue;
+    for (guint k = 0; done && k < MIN(e->done->len, c->count); k++) {
+      FkBooking *b = e->done->data[k] && !c->done[k] ? fk_chunk_find(c, c->first + k) : NULL;
+      if (b)
+        fk_chunk_finish(c, b->task, b->attempt);
+    }
+    for (guint k = 0; !done && k < e->released->len; k++) {
+      FkTry *t = &g_array_index(e->released, FkTry, k);
+      fk_chunk_release(c, t->task, t->attempt);
+    }
+  }
+}
+
+/* The chunk's record less all ends that pages have of it; a result counts whichever came first. */
 static FkChunk *afresh(FkView *v, const FkJob *j, guint32 index) {
   FkChunk *c = fk_chunk_copy(j->bases[index]);
   g_autofree char *key = g_strdup_printf("%s/%u", j->spec->id, index);
-  GHashTableIter it;
-  gpointer p;
-  g_hash_table_iter_init(&it, v->end_pages);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    FkEndPage *page = p;
-    for (guint i = 0; i < page->ends->len; i++) {
-      FkEnds *e = page->ends->pdata[i];
-      if (!g_str_equal(e->chunk, key))
-        continue;
-      for (guint k = 0; k < MIN(e->done->len, c->count); k++) {
-        FkBooking *b = e->done->data[k] && !c->done[k] ? fk_chunk_find(c, c->first + k) : NULL;
-        if (b)
-          fk_chunk_finish(c, b->task, b->attempt);
-      }
-      for (guint k = 0; k < e->released->len; k++) {
-        FkTry *t = &g_array_index(e->released, FkTry, k);
-        fk_chunk_release(c, t->task, t->attempt);
-      }
-    }
+  for (int done = 1; done >= 0; done--) {
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, v->end_pages);
+    while (g_hash_table_iter_next(&it, NULL, &p))
+      take_in(c, p, key, done);
   }
   return c;
 }
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -561,6 +561,55 @@
     }
 }
 
+/* One home has written that the task is done, another that the same attempt has ended: the result counts, in
+ * whatever order they are read. */
+static void test_done_and_released(void) {
+  const char *chunk[] = {"fk/l/t/run-1/00000", "{\"f\":0,\"n\":4,\"a\":3,\"b\":[[0,1,\"i-1\",\"c-0\"]]}",
+                         NULL},
+             *done[] = {"fk/l/r/c-1/0", "{\"run-1/0\":{\"d\":\"1\"}}", NULL},
+             *released[] = {"fk/l/r/c-2/0", "{\"run-1/0\":{\"r\":[0,1]}}", NULL};
+  const char **orders[][3] = {{chunk, done, released}, {chunk, released, done}, {done, chunk, released},
+                              {released, chunk, done}, {done, released, chunk}, {released, done, chunk}};
+  for (guint i = 0; i < G_N_ELEMENTS(orders); i++) {
+    Rig *r = rig_new(FALSE);
+    for (guint k = 0; k < 3; k++)
+      watched(r, orders[i][k]);
+    FkJob *j = fk_view_job(fk_controller_view(r->c), "run-1");
+    g_assert_cmpuint(j->done, ==, 1);
+    g_assert_cmpuint(j->booked, ==, 0);
+    g_assert_cmpfloat(fk_view_machine(fk_controller_view(r->c), "i-1")->cpus, ==, 0);
+    rig_free(r);
+  }
+}
+
+/* A chunk whose job isn't there is swept by the leader, on the store's word that there is none; one that was
+ * read before its job, as in a list read while the job was accepted, isn't. */
+static void test_orphans(void) {
+  for (int comes = 0; comes < 2; comes++) {
+    Rig *r = rig_new(FALSE);
+    const char *chunk[] = {"fk/l/t/run-8/00000", "{\"f\":0,\"n\":4,\"a\":2,\"b\":[[0,1,\"i-1\",\"c-0\"]]}",
+                           NULL},
+               *job[] = {"fk/l/j/run-8", SPEC, NULL},
+               *leader[] = {"fk/l/leader", "{\"node\":\"c-0\",\"life\":\"now\"}", NULL};
+    watched(r, chunk);
+    if (comes) {
+      watched(r, job);
+      watched(r, chunk);
+    }
+    watched(r, leader);
+    tick(r, 1);
+    FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/t/run-8/00000");
+    g_assert_true((t != NULL) == !comes);
+    gboolean guarded = FALSE;
+    for (guint i = 0; t && i < t->guards->len; i++) {
+      FkGuard *g = &g_array_index(t->guards, FkGuard, i);
+      guarded |= g_str_equal(g->path, "fk/l/j/run-8") && !g->rev.n;
+    }
+    g_assert_true(guarded == !comes);
+    rig_free(r);
+  }
+}
+
 /* What applying a change costs follows from what changed, not from how large the chunk or the page is. */
 static void test_work(void) {
   Rig *r = rig_new(FALSE);
@@ -678,6 +727,8 @@
   g_test_add_func("/core/told", test_told);
   g_test_add_func("/core/given_up", test_given_up);
   g_test_add_func("/core/ends", test_ends);
+  g_test_add_func("/core/done_and_released", test_done_and_released);
+  g_test_add_func("/core/orphans", test_orphans);
   g_test_add_func("/core/work", test_work);
   g_test_add_func("/core/split", test_split);
   g_test_add_func("/core/budget", test_budget);
