Read again: one price of a machine, one test of a serving task, one way to lose a machine

Need: the price of a machine as spot or ordinary was worked out in eight places, what serves in two; the world lost a machine in four places and began a job in two. Change: fk_type_price, serves, and lose and new_job in the world; the clock's comment says what it gives. Behaviour is as it was.

--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -45,6 +45,9 @@
   char **zones;
 } FkType;
 
+/* What such a machine costs now, an hour. */
+static inline double fk_type_price(const FkType *t, gboolean spot) { return spot ? t->spot_price : t->price; }
+
 typedef struct {
   char *id, *addr, *type, *zone;
   gboolean spot;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -111,7 +111,7 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     const Booting *b = p;
     const FkType *t = g_hash_table_lookup(c->types, b->type);
-    price += t ? (b->spot ? t->spot_price : t->price) : 0;
+    price += t ? fk_type_price(t, b->spot) : 0;
   }
   return price;
 }
@@ -398,7 +398,7 @@
           continue;
         /* booting and fetching are paid for as well */
         double ready = t->boot_s + s->image_gb / MAX(0.01, t->fetch_gb_per_s);
-        double cost = (spot ? t->spot_price : t->price) * (1 + ready / (2 * run_s)) / MIN(slots, tasks);
+        double cost = fk_type_price(t, spot) * (1 + ready / (2 * run_s)) / MIN(slots, tasks);
         if (cost < best_cost) {
           best_cost = cost;
           *offer = (Offer){t, t->zones[z], spot, slots, ready};
@@ -778,7 +778,7 @@
     const FkType *t = p;
     guint slots = fk_job_fits_type(s, t) ? slots_of(t->cpus, t->gpus, t->mem_gb, s) : 0;
     if (slots)
-      best = MIN(best, (s->spot ? t->spot_price : t->price) / slots);
+      best = MIN(best, fk_type_price(t, s->spot) / slots);
   }
   return best;
 }
@@ -828,7 +828,7 @@
       return 0;
     need += fk_cheapest_price(c, b->job->spec);
   }
-  return (m->rec->spot ? t->spot_price : t->price) / need;
+  return fk_type_price(t, m->rec->spot) / need;
 }
 
 /* A machine kept by a few tasks costs more than they are worth: they move where there is room, one machine at
@@ -869,8 +869,7 @@
     const FkType *t = fk_type_of(c, m);
     if (t && m != worst && !m->mark && m->books->len && (!m->rec->spot || s->spot) &&
         fk_job_fits_type(s, t) &&
-        (m->rec->spot ? t->spot_price : t->price) <
-            (worst->rec->spot ? worst->type->spot_price : worst->type->price))
+        fk_type_price(t, m->rec->spot) < fk_type_price(worst->type, worst->rec->spot))
       room += slots_of(t->cpus - m->cpus, t->gpus - m->gpus, t->mem_gb - m->mem_gb, s);
   }
   if (room < 2 * worst->books->len)
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -17,7 +17,7 @@
 static double long_cost(FkController *c, const FkJob *j, const FkMachine *m) {
   const FkType *t = fk_type_of(c, m);
   double fetch = fetch_s(c, j, m);
-  double price = m->rec->spot ? t->spot_price : t->price;
+  double price = fk_type_price(t, m->rec->spot);
   double left = (t->cpus - m->cpus - m->pend_cpus - j->spec->cpus) / t->cpus;
   /* Whether it must fetch at all counts most, then what it costs to keep the machine for as long as the task
    * runs there: a few replicas must not hold the largest machine. Last, the fuller machine. */
--- a/src/core/money.c
+++ b/src/core/money.c
@@ -44,7 +44,7 @@
     const FkType *t = m->rec ? fk_type_of(c, m) : NULL;
     if (!t)
       continue;
-    double price = m->rec->spot ? t->spot_price : t->price;
+    double price = fk_type_price(t, m->rec->spot);
     if (m->mark)
       a->going += price * s;
     else if (!m->books->len)
--- a/src/core/recover.c
+++ b/src/core/recover.c
@@ -2,12 +2,15 @@
  * many replicas room is wanted meanwhile. */
 #include "core/internal.h"
 
+/* A service's task that nobody has cancelled. */
+static gboolean serves(const FkBookRef *b) {
+  return b->job->spec->shape == FK_SHAPE_SERVICE && !b->job->cancelled;
+}
+
 guint fk_services_on(const FkMachine *m) {
   guint n = 0;
-  for (guint i = 0; i < m->books->len; i++) {
-    const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
-    n += b->job->spec->shape == FK_SHAPE_SERVICE && !b->job->cancelled;
-  }
+  for (guint i = 0; i < m->books->len; i++)
+    n += serves(&g_array_index(m->books, FkBookRef, i));
   return n;
 }
 
@@ -64,9 +67,9 @@
     if (!m->rec || g_strcmp0(m->mark, "silent") != 0)
       continue;
     for (guint i = 0; i < m->books->len; i++) {
-      FkJob *j = g_array_index(m->books, FkBookRef, i).job;
-      if (j->spec->shape == FK_SHAPE_SERVICE && !j->cancelled)
-        g_ptr_array_add(jobs, j);
+      const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
+      if (serves(b))
+        g_ptr_array_add(jobs, b->job);
     }
   }
   return jobs;
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -526,6 +526,12 @@
   g_ptr_array_set_size(w->tasks, 0);
 }
 
+/* It is no more, and nothing that ran there. */
+static void lose(Sim *m, Worker *w) {
+  wipe(m, w);
+  w->gone = TRUE;
+}
+
 static gboolean hung(Sim *m, const Worker *w) { return m->now < w->hung; }
 
 static FkReport *report_of(Worker *w) {
@@ -902,8 +908,7 @@
     for (guint i = 0; i < o->names->len; i++) {
       Worker *w = worker_of(m, o->names->pdata[i]);
       if (w && !w->gone) {
-        wipe(m, w);
-        w->gone = TRUE;
+        lose(m, w);
       }
     }
     answer(c, FK_OK, (FkRev){0}, NULL, FALSE, NULL);
@@ -1052,24 +1057,28 @@
   after(m, between(m, 0.5, 3), service_asked, j);
 }
 
+static UJob *new_job(Sim *m) {
+  UJob *j = g_new0(UJob, 1);
+  j->id = g_strdup_printf("run-%06u", m->r.submitted++);
+  g_ptr_array_add(m->jobs, j);
+  g_hash_table_insert(m->job_by_id, j->id, j);
+  return j;
+}
+
 static void submit_services(Sim *m) {
   for (guint i = 0; i < m->plan.services; i++) {
-    UJob *j = g_new0(UJob, 1);
-    j->id = g_strdup_printf("run-%06u", m->r.submitted++);
+    UJob *j = new_job(m);
     j->team = g_strdup(i % 2 ? "red" : "blue");
     j->shape = FK_SHAPE_SERVICE;
     j->tasks = 1;
     j->cpus = 8; /* a machine each */
     j->finished = g_new0(guint8, 1);
-    g_ptr_array_add(m->jobs, j);
-    g_hash_table_insert(m->job_by_id, j->id, j);
     after(m, between(m, 1, 0.6 * m->plan.loss_at), service_asked, j);
   }
 }
 
 static void user_submits(Sim *m, gpointer p) {
-  UJob *j = g_new0(UJob, 1);
-  j->id = g_strdup_printf("run-%06u", m->r.submitted++);
+  UJob *j = new_job(m);
   j->team = g_strdup(chance(m, 0.5) ? "red" : "blue");
   j->shape = chance(m, 0.15)                   ? FK_SHAPE_SERVICE
              : m->plan.gangs && chance(m, 0.2) ? FK_SHAPE_GANG
@@ -1083,8 +1092,6 @@
   j->spread = !j->one_zone && !j->zone && chance(m, 0.1);
   j->run_s = between(m, 1, 15);
   j->finished = g_new0(guint8, j->tasks);
-  g_ptr_array_add(m->jobs, j);
-  g_hash_table_insert(m->job_by_id, j->id, j);
   user_acts(m, j);
   if (m->now < (gint64)((m->plan.submit_s > 0 ? m->plan.submit_s : m->plan.seconds * 0.6) * 1e6))
     after(m, between(m, 0.5, 6) / (m->plan.scale > 0 ? m->plan.scale : 1), user_submits, NULL);
@@ -1243,8 +1250,7 @@
     if (chance(m, 0.5)) {
       w->hung = m->now + (gint64)(s * 1e6);
     } else {
-      wipe(m, w);
-      w->gone = TRUE;
+      lose(m, w);
     }
   }
 }
@@ -1267,8 +1273,7 @@
       if (t->on)
         r->lost += job_of(m, t->job)->lost = TRUE;
     }
-    wipe(m, w);
-    w->gone = TRUE;
+    lose(m, w);
   }
   g_debug("WORLD %.3f of %u machines %u are lost", m->now / 1e6, here, seen / every);
 }
@@ -1338,8 +1343,7 @@
         w->hung = m->now + (gint64)(between(m, 2, 60) * 1e6);
       } else if (m->plan.deaths) {
         /* dies silently: stays in the list, never reports */
-        wipe(m, w);
-        w->gone = TRUE;
+        lose(m, w);
       }
     }
     }
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -25,7 +25,7 @@
    * lost at once. */
   guint services;
   double loss_at, loss_share;
-  /* What one core time is spent in is asked of this clock, in ns; NULL: it isn't measured. */
+  /* Processor time so far, in ns; NULL: what the cores take isn't measured. */
   gint64 (*clock_ns)(void);
 } SimPlan;
 
