A limit of 0 is no limit: a team without a guarantee is let in, and kept by nothing but room

Change: src/teams/limits.h is the one place that knows it; no limit is infinity from the settings on, so that each use (acceptance, launch, shares, the fleet's demand) needs no special case. A team without any limit needs no record: its launches are neither guarded by one nor write one, and its limit is never split.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "teams/limits.h"
+
 #define TXN_BYTES 40000 /* of the store's 64 KiB */
 
 /* Types are never freed while the controller lives, so that a machine can keep its own at hand. */
@@ -58,7 +60,7 @@
  * is split. */
 static double team_left(FkController *c, const FkTeam *team, const FkTeamUse *use) {
   if (!use->split)
-    return team->cpus_max - use->cpus - use->pend_cpus;
+    return fk_limit_left(team->cpus_max, use->cpus + use->pend_cpus);
   double *share = g_hash_table_lookup(use->split, c->settings->node);
   double *mine = g_hash_table_lookup(use->by, g_intern_string(c->settings->node));
   return (share ? *share : 0) - (mine ? *mine : 0) - use->pend_cpus;
@@ -67,12 +69,12 @@
 gboolean fk_team_allows_tasks(FkController *c, const FkSpec *s, guint32 tasks) {
   FkTeam *team = fk_settings_team(c->settings, s->team);
   FkTeamUse *use = fk_view_team(c->view, s->team);
-  if (!team || use->gpus + use->pend_gpus + tasks * s->gpus > team->gpus_max + FK_EPS)
+  if (!team || !fk_limit_allows(team->gpus_max, use->gpus + use->pend_gpus, s->gpus, tasks))
     return FALSE;
   if (tasks * s->cpus <= team_left(c, team, use) + FK_EPS)
     return TRUE;
   use->starved |= use->split && g_hash_table_size(use->split) &&
-                  use->cpus + use->pend_cpus + tasks * s->cpus <= team->cpus_max + FK_EPS;
+                  fk_limit_allows(team->cpus_max, use->cpus + use->pend_cpus, s->cpus, tasks);
   return FALSE;
 }
 
@@ -139,6 +141,20 @@
   return since.us > c->store_back.us ? since : c->store_back;
 }
 
+/* A limit is kept by the team's record: shared, every launch changes it; split, nobody may change it. Where
+ * there is no limit there is nothing to keep, and a guest's launches wait for nobody else's. */
+static void guard_limit(FkController *c, FkBatch *b, const char *name) {
+  const FkTeam *team = fk_settings_team(c->settings, name);
+  if (!fk_team_limited(team) || g_hash_table_contains(b->teams, name))
+    return;
+  FkTeamUse *use = fk_view_team(c->view, name);
+  fk_txn_guard(b->txn, fk_key(FK_KEY_TEAM, name), use->rev);
+  if (!use->split)
+    fk_txn_put(b->txn, fk_key(FK_KEY_TEAM, name), fk_record_new(FK_KEY_TEAM), (FkRev){0});
+  g_hash_table_add(b->teams, (gpointer)g_intern_string(name));
+  b->bytes += 200;
+}
+
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m) {
   /* spread and together look at the view: one task a transaction keeps them true */
   if ((j->spec->one_zone || j->spec->spread) && j->spec->shape != FK_SHAPE_GANG && b->txn)
@@ -161,16 +177,7 @@
       return FALSE;
     if (!copy)
       copy = open_chunk(c, b, j, i);
-    if (!g_hash_table_contains(b->teams, j->spec->team)) {
-      FkTeamUse *use = fk_view_team(c->view, j->spec->team);
-      fk_txn_guard(b->txn, fk_key(FK_KEY_TEAM, j->spec->team), use->rev);
-      /* A shared limit is kept by every launch changing the team's record; a split one by nobody changing it.
-       */
-      if (!use->split)
-        fk_txn_put(b->txn, fk_key(FK_KEY_TEAM, j->spec->team), fk_record_new(FK_KEY_TEAM), (FkRev){0});
-      g_hash_table_add(b->teams, (gpointer)g_intern_string(j->spec->team));
-      b->bytes += 200;
-    }
+    guard_limit(c, b, j->spec->team);
     for (guint32 task = copy->first; task < copy->first + copy->count; task++)
       if (j->spec->shape == FK_SHAPE_GANG
               ? fk_chunk_book_as(copy, task, m->id, c->settings->node, j->gang_attempt)
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "teams/limits.h"
+
 #define HOLD_S 6.0
 #define WATCH_S 2.0
 #define WATCH_SHARE 0.35  /* of the store's requests, all controllers together */
@@ -774,7 +776,8 @@
 static gboolean impossible(FkController *c, const FkSpec *s) {
   FkTeam *team = fk_settings_team(c->settings, s->team);
   double tasks = s->shape != FK_SHAPE_ARRAY ? s->tasks : 1;
-  if (!team || s->cpus * tasks > team->cpus_max + 1e-9 || s->gpus * tasks > team->gpus_max + 1e-9)
+  if (!team || !fk_limit_allows(team->cpus_max, 0, s->cpus, tasks) ||
+      !fk_limit_allows(team->gpus_max, 0, s->gpus, tasks))
     return TRUE;
   GHashTableIter it;
   gpointer t;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "teams/limits.h"
+
 #define TICK_S 0.5
 #define RETURN_MAX 100 /* names a call, the cloud's limit */
 #define PLAN_JOBS 2000 /* looked at; more wait their turn */
@@ -579,7 +581,7 @@
   FkTeam *team = fk_settings_team(c->settings, s->team);
   guint32 waiting = fk_job_waiting(j);
   if (s->cpus > 0)
-    waiting = (guint32)MIN((double)waiting, floor(MAX(0, team->cpus_max - *used) / s->cpus + 1e-6));
+    waiting = (guint32)MIN((double)waiting, floor(fk_limit_left(team->cpus_max, *used) / s->cpus + 1e-6));
   Offer soonest;
   double ready = bin_offer(c, s, fk_job_waiting(j), FALSE, &soonest) ? soonest.ready_s : 60;
   double patience = patience_s(c, j, ready), run_s = fk_view_run_s(c->view, s);
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+#include "teams/limits.h"
+
 #define SHARED_S 4.0       /* a team that has just been found short of shares stays shared for so long ... */
 #define SHARED_MAX_S 120.0 /* ... and twice as long each time that this comes soon again */
 #define SHARE_TASKS 4      /* a share must have room for so many of the team's largest tasks */
@@ -44,7 +46,7 @@
 static GHashTable *shares(FkController *c, const FkTeam *team, const FkTeamUse *use) {
   GHashTable *split = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   guint n = g_hash_table_size(c->view->nodes);
-  double weights = 0, free = team->cpus_max - use->cpus;
+  double weights = 0, free = fk_limit_left(team->cpus_max, use->cpus);
   GHashTableIter it;
   gpointer name;
   g_hash_table_iter_init(&it, c->view->nodes);
@@ -61,7 +63,7 @@
 
 /* Whether everybody's share would be of use. */
 static gboolean room_to_split(FkController *c, const FkTeam *team, const FkTeamUse *use) {
-  double free = team->cpus_max - use->cpus, largest = 0;
+  double free = fk_limit_left(team->cpus_max, use->cpus), largest = 0;
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->jobs);
@@ -74,6 +76,11 @@
          free > SHARE_TASKS * largest * (g_hash_table_size(c->view->nodes) + LEADER_WEIGHT - 1);
 }
 
+/* Shares are of CPUs: a team whose GPUs are limited too needs its record, and one without a limit needs none. */
+static gboolean splittable(const FkTeam *team) {
+  return fk_limited(team->cpus_max) && !fk_limited(team->gpus_max);
+}
+
 static gboolean paused(const FkTeamUse *use) { return use->split && !g_hash_table_size(use->split); }
 
 /* Shares change in two steps. A pause gives nobody anything: launches on the revisions before it are void, so
@@ -101,7 +108,7 @@
       if (g_strcmp0(use->was_short, c->settings->node) == 0 || (c->leading && age > PAUSE_MAX_S))
         deal_out(c, team, use);
     } else if (use->split ? use->starved && age > SPLIT_MIN_S
-                          : c->leading && g_hash_table_size(c->view->nodes) > 1 && team->gpus_max <= 0 &&
+                          : c->leading && g_hash_table_size(c->view->nodes) > 1 && splittable(team) &&
                                 fk_time_between(use->shared_since, c->now) > MAX(SHARED_S, use->shared_s) &&
                                 room_to_split(c, team, use)) {
       change(c, team->name, use, g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free), FALSE);
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -1,5 +1,7 @@
 #include "core/settings.h"
 
+#include "teams/limits.h"
+
 static void peer_free(gpointer p) {
   FkPeer *peer = p;
   g_free(peer->name);
@@ -58,6 +60,8 @@
   g_free(s);
 }
 
+gboolean fk_team_limited(const FkTeam *t) { return fk_limited(t->cpus_max) || fk_limited(t->gpus_max); }
+
 FkTeam *fk_settings_team(const FkSettings *s, const char *name) {
   for (guint i = 0; i < s->teams->len; i++) {
     FkTeam *t = s->teams->pdata[i];
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -7,6 +7,7 @@
   char *name, *zone, *addr;
 } FkPeer;
 
+/* A guarantee of 0 is none; a limit is infinite where the platform sets none (teams/limits.h). */
 typedef struct {
   char *name;
   double cpus, cpus_max, gpus, gpus_max;
@@ -53,4 +54,6 @@
 FkSettings *fk_settings_new(void);
 void fk_settings_free(FkSettings *s);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkSettings, fk_settings_free)
+/* Whether any limit of the team's must be kept: without one no launch of it needs the team's record. */
+gboolean fk_team_limited(const FkTeam *t);
 FkTeam *fk_settings_team(const FkSettings *s, const char *name);
--- a/src/lab/recovery.c
+++ b/src/lab/recovery.c
@@ -4,6 +4,7 @@
 #include <time.h>
 
 #include "lab/world.h"
+#include "teams/limits.h"
 
 #define WAIT_S 600.0 /* for the last replica, at the most */
 
@@ -15,7 +16,7 @@
 
 static FkTeam *team(const char *name, double cpus) {
   FkTeam *t = g_new0(FkTeam, 1);
-  *t = (FkTeam){.name = g_strdup(name), .cpus = cpus, .cpus_max = 4 * cpus};
+  *t = (FkTeam){.name = g_strdup(name), .cpus = cpus, .cpus_max = 4 * cpus, .gpus_max = fk_limit_of(0)};
   return t;
 }
 
--- a/src/wire/settings.c
+++ b/src/wire/settings.c
@@ -3,6 +3,8 @@
 #include <gio/gio.h>
 #include <string.h>
 
+#include "teams/limits.h"
+
 GQuark fk_settings_error(void) { return g_quark_from_static_string("fk-settings"); }
 
 static gboolean fail(GError **error, const char *field, const char *what) {
@@ -60,6 +62,8 @@
         !take_num(j, "cpus_max", 0, &t->cpus_max, error) || !take_num(j, "gpus", 0, &t->gpus, error) ||
         !take_num(j, "gpus_max", 0, &t->gpus_max, error))
       return FALSE;
+    t->cpus_max = fk_limit_of(t->cpus_max);
+    t->gpus_max = fk_limit_of(t->gpus_max);
   }
   return TRUE;
 }
