Who is to blame, the job or the machine: told apart by all controllers alike

Change: src/blame (pure): evidence by job and machine, verdicts out. A failure is said so in the home's page of ends ("f", beside the release that older versions read), so every view counts it. A job that failed on two machines which nothing else speaks against, never succeeded, and of which nothing goes on, is started one task at a time with pauses of 2 to 60 s, elsewhere each time, and wants no more room than that; its failures count against no machine. Ruled out: counting on the home alone (each home sees a part), machine's streak of other jobs only (one array on a faulty machine is all that runs there).

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -27,6 +27,8 @@
 gboolean fk_job_allows(FkController *c, const FkJob *j, const FkMachine *m) {
   const FkSpec *s = j->spec;
   const FkType *t = fk_type_of(c, m);
+  if (j->faulted && fk_blame_avoids(c->view->blame, s->id, m->id, c->now))
+    return FALSE;
   if (!t || !fk_job_fits_type(s, t) || (m->rec->spot && !s->spot) ||
       (s->zone && !g_str_equal(s->zone, m->rec->zone)))
     return FALSE;
@@ -156,6 +158,12 @@
 }
 
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m) {
+  if (j->doubted && j->spec->shape != FK_SHAPE_GANG) {
+    /* one task tells whether it fails everywhere */
+    if (j->booked || j->tried.us == c->now.us)
+      return FALSE;
+    j->tried = c->now;
+  }
   /* spread and together look at the view: one task a transaction keeps them true */
   if ((j->spec->one_zone || j->spec->spread) && j->spec->shape != FK_SHAPE_GANG && b->txn)
     for (guint i = 0; i < b->txn->guards->len; i++) {
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -1022,6 +1022,7 @@
   peers_tick(c);
   c->view->now = now;
   fk_view_rate_services(c->view);
+  fk_view_review_doubts(c->view);
   metered(c, FK_COST_CLAIMS, fk_claims_tick);
   metered(c, FK_COST_HOMES, fk_homes_tick);
   metered(c, FK_COST_HOMES, fk_ends_tick);
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -16,7 +16,7 @@
   char *job;
   guint32 task;
   FkAttempt attempt;
-  gboolean done;
+  FkEndHow how;
 };
 
 void fk_ending_free(gpointer p) {
@@ -54,7 +54,7 @@
   g_hash_table_remove_all(c->ending_on);
 }
 
-void fk_end_book(FkController *c, const FkMachine *m, const FkBookRef *b, gboolean done, gboolean guarded) {
+void fk_end_book(FkController *c, const FkMachine *m, const FkBookRef *b, FkEndHow how, gboolean guarded) {
   FkEnding *e = g_new0(FkEnding, 1);
   *e = (FkEnding){m->id,
                   guarded ? m->group->id : NULL,
@@ -62,14 +62,14 @@
                   g_strdup(b->job->spec->id),
                   b->task,
                   b->attempt,
-                  done};
+                  how};
   char *key = fk_attempt_key(e->job, e->task, e->attempt);
   const FkEnding *before = g_hash_table_lookup(c->ended, key);
   if (before)
     count_on(c, before->machine, -1);
   count_on(c, e->machine, +1);
   g_hash_table_replace(c->ended, key, e);
-  if (!done && !b->job->cancelled && (b->stop || b->job->spec->shape == FK_SHAPE_SERVICE))
+  if (how != FK_END_DONE && !b->job->cancelled && (b->stop || b->job->spec->shape == FK_SHAPE_SERVICE))
     c->ends_urgent = TRUE;
 }
 
@@ -207,17 +207,17 @@
     const FkChunk *base = j->bases[index];
     g_autofree char *chunk = g_strdup_printf("%s/%u", e->job, index);
     FkEnds *ends = ends_of(page, chunk, base, &size);
-    if (e->done) {
+    if (e->how == FK_END_DONE) {
       ends->done->data[e->task - base->first] = 1;
     } else {
-      FkTry try = {e->task, e->attempt};
+      FkTry try = {e->task, e->how == FK_END_FAILED, e->attempt};
       g_array_append_val(ends->released, try);
       size += 10;
     }
     if (e->group)
       fk_txn_guard(t, fk_key(FK_KEY_GROUP, e->group), e->rev);
     guint n = GPOINTER_TO_UINT(g_hash_table_lookup(jobs, j));
-    g_hash_table_insert(jobs, j, GUINT_TO_POINTER(n + 1 + (e->done ? 1 << 20 : 0)));
+    g_hash_table_insert(jobs, j, GUINT_TO_POINTER(n + 1 + (e->how == FK_END_DONE ? 1 << 20 : 0)));
   }
   if (!t)
     return;
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -640,7 +640,7 @@
   for (guint i = 0; i < m->books->len; i++) {
     const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
     if (!fk_ending(c, m, b))
-      fk_end_book(c, m, b, FALSE, FALSE);
+      fk_end_book(c, m, b, FK_END_RELEASED, FALSE);
   }
   if (!m->books->len)
     fk_roster_remove(c, m);
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -2,11 +2,10 @@
  * that would bring the machine in line with the bookings are worked out anew. */
 #include "core/internal.h"
 
-#define MAX_ORDERS 200   /* an answer's line stays far below 64 KiB */
-#define COME_BACK_S 12.0 /* a worker that comes back within this can't reach its home */
-#define BACK_SHARE 0.15  /* of a group's machines that come back: its home can't be reached */
-#define RECLAIM_S 3.0    /* a claim made anew must have had time to be heard of */
-#define SICK_FAILURES 3
+#define MAX_ORDERS 200    /* an answer's line stays far below 64 KiB */
+#define COME_BACK_S 12.0  /* a worker that comes back within this can't reach its home */
+#define BACK_SHARE 0.15   /* of a group's machines that come back: its home can't be reached */
+#define RECLAIM_S 3.0     /* a claim made anew must have had time to be heard of */
 #define PROBE_AFTER 1.4   /* report intervals without a report: ask the machine itself */
 #define WATCHED_S 3.0     /* machines with services are looked after as if they reported at least so often */
 #define SILENT_MORE_S 2.3 /* and the answer is waited for so long */
@@ -182,23 +181,18 @@
   return GO_RELEASE;
 }
 
-static void after_release(FkController *c, FkMachine *m, const FkBookRef *b) {
-  FkHome *h = m->home;
-  FkTaskReport *t = h ? report_find(h->report, b->job->spec->id, b->task, b->attempt) : NULL;
-  if (!t || t->state != FK_TASK_EXITED)
-    return;
-  if (t->why == FK_WHY_DONE) {
-    h->failures = 0;
-    b->job->failures = 0;
-  } else if (t->why == FK_WHY_ERROR || t->why == FK_WHY_UNKNOWN) {
-    if (t->why == FK_WHY_ERROR)
-      h->failures++;
-    /* a job that fails everywhere is slowed, never dropped */
-    b->job->failures++;
-    b->job->retry_at = fk_time_add(c->now, b->job->failures < 4 ? 0 : MIN(30.0, 0.5 * b->job->failures));
-  } else if (t->why == FK_WHY_FULL || t->why == FK_WHY_BUSY) {
+/* A start that was refused says something of the machine, or of what it knows of the job, and nothing of how
+ * the task would have gone. */
+static void after_refusal(FkController *c, FkMachine *m, const FkBookRef *b, FkWhy why) {
+  if (why == FK_WHY_FULL || why == FK_WHY_BUSY)
     m->full_until = fk_time_add(c->now, 2);
-  }
+  else if (why == FK_WHY_UNKNOWN)
+    b->job->retry_at = fk_time_add(c->now, 1);
+}
+
+static FkWhy why_ended(const FkMachine *m, const FkBookRef *b) {
+  FkTaskReport *t = m->home ? report_find(m->home->report, b->job->spec->id, b->task, b->attempt) : NULL;
+  return t && t->state == FK_TASK_EXITED ? t->why : FK_WHY_NONE;
 }
 
 /* Notes what has certainly ended on this machine, to be written down. */
@@ -213,8 +207,13 @@
       continue;
     g_debug("%s/%u attempt %" G_GUINT64_FORMAT " on %s has ended: %s%s", b->job->spec->id, b->task,
             b->attempt.n, m->id, go == GO_DONE ? "done" : "released", lease_over ? ", lease over" : "");
-    fk_end_book(c, m, b, go == GO_DONE, TRUE);
-    after_release(c, m, b);
+    FkWhy why = why_ended(m, b);
+    fk_end_book(c, m, b,
+                go == GO_DONE                        ? FK_END_DONE
+                : why == FK_WHY_ERROR && !lease_over ? FK_END_FAILED
+                                                     : FK_END_RELEASED,
+                TRUE);
+    after_refusal(c, m, b, why);
   }
   if (need_claim && fk_time_between(m->home->claimed_at, c->now) > RECLAIM_S)
     m->group->wanted = TRUE; /* a new token makes the starts that may still arrive void */
@@ -277,7 +276,7 @@
     return;
   if (h->report->notice_s >= 0)
     mark(c, m, "notice", h->report->notice_s);
-  else if (h->failures >= SICK_FAILURES)
+  else if (fk_blame_sick(c->view->blame, m->id))
     mark(c, m, "sick", -1);
   else if ((g_strcmp0(m->mark, "silent") == 0 || g_strcmp0(m->want_mark, "silent") == 0) &&
            fk_home_heard(m) && fk_time_between(h->last_heard, c->now) < 1)
@@ -590,7 +589,7 @@
     for (guint i = 0; c->leading && i < m->books->len; i++) {
       FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
       if (!fk_ending(c, m, b) && fk_time_between(b->since, c->now) > 1)
-        fk_end_book(c, m, b, FALSE, FALSE);
+        fk_end_book(c, m, b, FK_END_RELEASED, FALSE);
     }
     gboolean heard = m->home && fk_time_between(m->home->last_heard, c->now) < 60;
     if (!m->books->len && m->pend_cpus <= 0 && !heard)
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -27,7 +27,6 @@
   gboolean
       settled; /* nothing pressing was found when it was looked at last, and its report shows our token */
   guint unanswered; /* direct calls in a row, since it was heard last */
-  guint failures;   /* tasks that failed here in a row */
   FkRev rev;        /* the claim, and since when */
   FkTime claimed_at;
 };
@@ -216,7 +215,7 @@
 /* ends.c */
 char *fk_attempt_key(const char *job, guint32 task, FkAttempt attempt);
 gboolean fk_ending(FkController *c, const FkMachine *m, const FkBookRef *b);
-void fk_end_book(FkController *c, const FkMachine *m, const FkBookRef *b, gboolean done, gboolean guarded);
+void fk_end_book(FkController *c, const FkMachine *m, const FkBookRef *b, FkEndHow how, gboolean guarded);
 void fk_ends_tick(FkController *c);
 void fk_ends_clear(FkController *c);
 void fk_ending_free(gpointer e);
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -208,6 +208,7 @@
   v->final_tasks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
   v->final_order = g_queue_new();
   v->corrections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  v->blame = fk_blame_new();
   v->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   v->touched = g_hash_table_new(g_str_hash, g_str_equal);
   return v;
@@ -225,6 +226,7 @@
   g_hash_table_remove_all(v->teams);
   g_hash_table_remove_all(v->waits);
   g_hash_table_remove_all(v->orphans);
+  fk_blame_clear(v->blame);
   g_hash_table_remove_all(v->touched);
   g_clear_pointer(&v->leader, g_free);
   g_clear_pointer(&v->leader_life, g_free);
@@ -251,6 +253,7 @@
   g_queue_free(v->final_order);
   g_hash_table_unref(v->corrections);
   g_hash_table_unref(v->orphans);
+  fk_blame_free(v->blame);
   g_hash_table_unref(v->touched);
   fk_spec_unref(v->service);
   g_free(v);
@@ -274,6 +277,7 @@
 }
 
 void fk_view_drop_machine(FkView *v, FkMachine *m) {
+  fk_blame_machine_gone(v->blame, m->id);
   g_hash_table_remove(v->touched, m->id);
   g_hash_table_remove(v->machines, m->id);
 }
@@ -421,6 +425,57 @@
   touch(v, m);
 }
 
+/* The longest that a task of the job has been going on. */
+static double oldest_s(const FkView *v, const FkJob *j) {
+  double s = 0;
+  for (guint32 i = 0; i < j->n_chunks; i++)
+    for (guint k = 0; j->chunks[i] && k < j->chunks[i]->bookings->len; k++) {
+      const FkBooking *b = &g_array_index(j->chunks[i]->bookings, FkBooking, k);
+      if (!b->stop && b->from_start)
+        s = MAX(s, fk_time_between(b->since, v->now));
+    }
+  return s;
+}
+
+/* Every controller sees the same failures, in the homes' pages, and draws the same conclusions: a job that
+ * fails everywhere is slowed by all, and no home takes its machines for faulty. */
+static void failed(FkView *v, FkJob *j, const FkBooking *b) {
+  const char *id = j->spec->id;
+  double took_s = b->from_start ? fk_time_between(b->since, v->now) : 0;
+  fk_blame_failed(v->blame, id, b->machine, took_s, j->done > 0, v->now);
+  fk_blame_goes_on(v->blame, id, oldest_s(v, j));
+  j->faulted = TRUE;
+  j->doubted = fk_blame_doubted(v->blame, id);
+  j->retry_at = fk_time_add(v->now, fk_blame_pause_s(v->blame, id));
+}
+
+static void succeeded(FkView *v, FkJob *j, const FkBooking *b) {
+  fk_blame_succeeded(v->blame, j->spec->id, b->machine);
+  if (j->doubted)
+    j->retry_at = v->now;
+  j->doubted = FALSE;
+}
+
+#define REVIEW_S 1.0
+
+void fk_view_review_doubts(FkView *v) {
+  if (fk_time_between(v->doubts_reviewed, v->now) < REVIEW_S || !fk_blame_jobs(v->blame))
+    return;
+  v->doubts_reviewed = v->now;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, v->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkJob *j = p;
+    if (!j->doubted)
+      continue;
+    fk_blame_goes_on(v->blame, j->spec->id, oldest_s(v, j));
+    j->doubted = fk_blame_doubted(v->blame, j->spec->id);
+    if (!j->doubted)
+      j->retry_at = v->now;
+  }
+}
+
 static void chunk_drop(FkView *v, FkJob *j, const FkChunk *c) {
   for (guint i = 0; i < c->bookings->len; i++)
     book_count(v, j, &g_array_index(c->bookings, FkBooking, i), -1);
@@ -443,7 +498,10 @@
   }
   for (guint i = 0; old && i < old->bookings->len; i++) {
     const FkBooking *b = &g_array_index(old->bookings, FkBooking, i);
-    if (b->from_start && c->done[b->task - c->first] && !old->done[b->task - c->first])
+    if (!c->done[b->task - c->first] || old->done[b->task - c->first])
+      continue;
+    succeeded(v, j, b);
+    if (b->from_start)
       learn(v, j->spec, fk_time_between(b->since, v->now));
   }
 }
@@ -536,10 +594,13 @@
 }
 
 /* A booking has ended, as a home has written down. */
-static void end_booking(FkView *v, FkJob *j, FkChunk *c, const FkBooking *ended, gboolean done) {
+static void end_booking(FkView *v, FkJob *j, FkChunk *c, const FkBooking *ended, FkEndHow how) {
   FkBooking b = *ended; /* it goes from the chunk below */
+  gboolean done = how == FK_END_DONE;
   if (done && b.from_start)
     learn(v, j->spec, fk_time_between(b.since, v->now));
+  if (done)
+    succeeded(v, j, &b);
   book_count(v, j, &b, -1);
   if (done)
     fk_chunk_finish(c, b.task, b.attempt);
@@ -551,6 +612,8 @@
       v->lost_cpu_s += fk_time_between(b.since, v->now) * j->spec->cpus;
   }
   j->done += done;
+  if (how == FK_END_FAILED)
+    failed(v, j, &b);
 }
 
 /* What is new in it counts at once, booking by booking. */
@@ -568,7 +631,7 @@
       continue;
     const FkBooking *b = fk_chunk_find(c, c->first + i);
     if (b)
-      end_booking(v, j, c, b, TRUE);
+      end_booking(v, j, c, b, FK_END_DONE);
     else
       released_before |= fk_chunk_find(j->bases[index], c->first + i) != NULL;
   }
@@ -580,7 +643,7 @@
     const FkTry *t = &g_array_index(e->released, FkTry, i);
     const FkBooking *b = fk_chunk_find(c, t->task);
     if (b && b->attempt.n == t->attempt.n)
-      end_booking(v, j, c, b, FALSE);
+      end_booking(v, j, c, b, t->failed ? FK_END_FAILED : FK_END_RELEASED);
   }
   if (index < j->unstarted_hint)
     j->unstarted_hint = (guint32)index;
@@ -651,6 +714,7 @@
       /* the last results of a small job end it in the same transaction */
       for (guint k = 0; !j->cancelled && k < j->chunks[i]->bookings->len; k++) {
         const FkBooking *b = &g_array_index(j->chunks[i]->bookings, FkBooking, k);
+        fk_blame_succeeded(v->blame, id, b->machine);
         if (b->from_start)
           learn(v, j->spec, fk_time_between(b->since, v->now));
       }
@@ -658,6 +722,7 @@
       char *path = fk_key_chunk(id, i);
       g_hash_table_replace(v->orphans, path, g_memdup2(&j->bases[i]->rev, sizeof(FkRev)));
     }
+  fk_blame_job_gone(v->blame, id);
   g_hash_table_remove(v->jobs, id);
 }
 
@@ -883,5 +948,8 @@
 gboolean fk_job_complete(const FkJob *j) { return j->done == j->spec->tasks; }
 
 guint32 fk_job_waiting(const FkJob *j) {
-  return j->cancelled || j->gone ? 0 : j->spec->tasks - j->done - j->booked;
+  if (j->cancelled || j->gone)
+    return 0;
+  guint32 all = j->spec->tasks - j->done - j->booked;
+  return !j->doubted || j->spec->shape == FK_SHAPE_GANG ? all : j->booked ? 0 : MIN(1, all);
 }
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -1,5 +1,6 @@
 /* The store as this controller sees it: a consistent prefix of its history, applied in order. */
 #pragma once
+#include "blame/blame.h"
 #include "core/job.h"
 #include "core/settings.h"
 
@@ -40,6 +41,7 @@
 } FkEnds;
 typedef struct {
   guint32 task;
+  guint32 failed; /* the worker said so: not stopped, nor lost with its machine */
   FkAttempt attempt;
 } FkTry;
 FkEnds *fk_ends_new(const char *chunk);
@@ -100,7 +102,9 @@
   FkTime seen;            /* when this controller first saw it */
   FkTime lost_at;         /* when a task of it lost its place last, its result not there yet */
   FkTime retry_at;        /* slowed after failures */
-  guint failures;
+  gboolean faulted;       /* a task of it has failed */
+  gboolean doubted;       /* it seems to fail everywhere: one task at a time */
+  FkTime tried;           /* ... and the look that it went into */
   FkAttempt gang_attempt; /* the number of the launch under way */
   guint32 gang_booked;    /* tasks that it has booked so far */
   FkTime preempted;       /* room for it was asked for lately */
@@ -121,6 +125,13 @@
   FkTime since;
 } FkBookRef;
 
+/* How a booking ended. */
+typedef enum {
+  FK_END_DONE,
+  FK_END_RELEASED, /* stopped, refused, or lost with its machine */
+  FK_END_FAILED    /* the worker says that the task failed */
+} FkEndHow;
+
 typedef struct FkHome FkHome;
 
 /* A machine that was sent to its home and came back: the last two times. */
@@ -217,6 +228,8 @@
   double took_s; /* of arrays' tasks done in this window: from booking to end, summed */
   guint took_count;
   double lost_cpu_s; /* of arrays' tasks that ended without a result in this window */
+  FkBlame *blame;
+  FkTime doubts_reviewed;
   GHashTable *orphans; /* paths of chunks without a job -> FkRev* */
   char *leader, *leader_life;
   FkRev leader_rev;
@@ -245,10 +258,14 @@
 void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks);
 /* The owner's estimate, corrected by what finished tasks of the class took. */
 double fk_view_run_s(FkView *v, const FkSpec *s);
+/* Now and then: which jobs seem to fail everywhere, by what has outlived their failures since. */
+void fk_view_review_doubts(FkView *v);
 /* Once a second or so: how fast services arrive. */
 void fk_view_rate_services(FkView *v);
 FkJob *fk_job_ref(FkJob *j);
 void fk_job_unref(gpointer j);
 FkPhase fk_job_phase(const FkJob *j);
 gboolean fk_job_complete(const FkJob *j);
+/* Tasks that want a place. Of a job that seems to fail everywhere that is one, and only when none is under way:
+ * nothing is rented, displaced or kept for the others. */
 guint32 fk_job_waiting(const FkJob *j);
--- a/src/teams/limits.h
+++ b/src/teams/limits.h
@@ -9,8 +9,8 @@
 double fk_limit_of(double setting);
 gboolean fk_limited(double most);
 
-/* Whether `used` and so much more, `each` of `times`, stay within. Sums are taken in doubles: 100,000 tasks of
- * the largest setting there is (1e9) are exact below 2^53. */
+/* Whether `used` and so much more, `each` of `times`, stay within. Sums are taken in doubles: 100,000 tasks
+ * of the largest setting there is (1e9) are exact below 2^53. */
 gboolean fk_limit_allows(double most, double used, double each, double times);
 
 /* What is left; never negative. */
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -145,10 +145,15 @@
     if (e->done->len)
       add_bits(j, "d", e->done->data, e->done->len);
     cJSON *list = e->released->len ? cJSON_AddArrayToObject(j, "r") : NULL;
+    cJSON *failed = NULL; /* again the attempts that failed: a version that doesn't know it still releases them */
     for (guint k = 0; k < e->released->len; k++) {
       const FkTry *t = &g_array_index(e->released, FkTry, k);
       cJSON_AddItemToArray(list, cJSON_CreateNumber(t->task));
       cJSON_AddItemToArray(list, fk_json_new_u64(t->attempt.n));
+      if (t->failed && !failed)
+        failed = cJSON_AddArrayToObject(j, "f");
+      if (t->failed)
+        cJSON_AddItemToArray(failed, fk_json_new_u64(t->attempt.n));
     }
   }
   return o;
@@ -171,9 +176,18 @@
       guint64 task, attempt;
       if (!fk_json_item_u64(n, &task) || !fk_json_item_u64(n->next, &attempt))
         return NULL;
-      FkTry t = {(guint32)task, {attempt}};
+      FkTry t = {(guint32)task, FALSE, {attempt}};
       g_array_append_val(e->released, t);
     }
+    cJSON_ArrayForEach(n, fk_json_get(j, "f")) {
+      guint64 attempt;
+      if (!fk_json_item_u64(n, &attempt))
+        return NULL;
+      for (guint k = 0; k < e->released->len; k++) {
+        FkTry *t = &g_array_index(e->released, FkTry, k);
+        t->failed |= t->attempt.n == attempt;
+      }
+    }
   }
   return g_steal_pointer(&ends);
 }
