Page by what it settles; idle machines kept by what came of giving others back

Cause: pages of machines were written in the tables' own order. Change: the page that settles the most goes first (joins and losses, then idle machines, then tidying), and who waits gains.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -922,7 +922,7 @@
   c->commands = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
   c->types = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, fk_type_free);
   c->heard = g_array_new(FALSE, FALSE, sizeof(FkHeard));
-  c->fleet = fk_fleet_new();
+  c->fleet = fk_fleet_new(now);
   c->money = fk_money_new();
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
   c->window_end = fk_time_add(now, s->tuning.window_s);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "rent/hold.h"
 #include "teams/limits.h"
 
 #define TICK_S 0.5
@@ -46,6 +47,7 @@
   FkTime list_began;
   GHashTable *rates; /* class -> Rate */
   FkTime counted;    /* jobs seen before this are in the rates */
+  FkHold hold[2];    /* ordinary, spot: what came of giving idle machines back */
 };
 
 typedef struct {
@@ -76,7 +78,7 @@
   g_free(r);
 }
 
-FkFleet *fk_fleet_new(void) {
+FkFleet *fk_fleet_new(FkTime now) {
   FkFleet *f = g_new0(FkFleet, 1);
   f->booting = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, booting_free);
   f->hires = g_ptr_array_new_with_free_func(hire_free);
@@ -85,6 +87,8 @@
   f->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   f->returning = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   f->rates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rate_free);
+  fk_hold_init(&f->hold[FALSE], now);
+  fk_hold_init(&f->hold[TRUE], now);
   return f;
 }
 
@@ -96,13 +100,15 @@
   g_hash_table_unref(f->calls);
   g_hash_table_unref(f->returning);
   g_hash_table_unref(f->rates);
+  fk_hold_clear(&f->hold[FALSE]);
+  fk_hold_clear(&f->hold[TRUE]);
   g_free(f->after);
   g_free(f);
 }
 
 void fk_fleet_reset(FkController *c) {
   fk_fleet_free(c->fleet);
-  c->fleet = fk_fleet_new();
+  c->fleet = fk_fleet_new(c->now);
 }
 
 double fk_fleet_boot_price(FkController *c) {
@@ -203,6 +209,8 @@
   h->spot = spot;
   h->count = MIN(count, 50);
   g_ptr_array_add(f->hires, h);
+  const FkType *t = g_hash_table_lookup(c->types, type);
+  fk_hold_rented(&f->hold[spot != 0], t ? h->count * t->cpus : 0, c->now);
   g_info("renting %u %s in %s%s", h->count, type, zone, spot ? ", spot" : "");
   hire_send(c, h);
 }
@@ -492,7 +500,7 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
     const FkType *t = fk_type_of(c, m);
-    if (!t || m->mark)
+    if (!t || m->mark || m->want_mark)
       continue;
     bin_add(bins, m->books->len ? BIN_UP : BIN_IDLE, t, m->rec->zone, m->rec->spot, 1, t->cpus - m->cpus,
             t->gpus - m->gpus, t->mem_gb - m->mem_gb, 0);
@@ -698,7 +706,7 @@
     if (g_hash_table_contains(f->returning, m->id) || g_str_equal(m->mark, "notice"))
       continue;
     /* an idle machine goes only while nothing is booked there */
-    if ((g_str_equal(m->mark, "idle") || g_str_equal(m->mark, FK_MARK_DRAIN)) &&
+    if ((g_str_equal(m->mark, FK_MARK_IDLE) || g_str_equal(m->mark, FK_MARK_DRAIN)) &&
         (m->books->len || fk_time_between(m->mark_seen, c->now) < 0.5))
       continue;
     if (g_str_equal(m->mark, "silent") && fk_services_on(m))
@@ -759,9 +767,14 @@
 
 /* How long a machine may be idle. What spot machines cost is little against their boots, as long as there are
  * few. */
-static double idle_limit_s(FkController *c, const FkMachine *m) {
+static double idle_limit_s(FkController *c, const FkMachine *m, const double times[2]) {
   double few = MIN(1, FEW / MAX(1, g_hash_table_size(c->view->machines)));
-  return c->settings->tuning.idle_s * (0.5 + 0.5 * few) * (m->rec->spot ? 1.5 + 2.5 * few : 1);
+  return c->settings->tuning.idle_s * (0.5 + 0.5 * few) * (m->rec->spot ? 1.5 + 2.5 * few : 1) *
+         times[m->rec->spot != 0];
+}
+
+double fk_fleet_hold_times(FkController *c, gboolean spot) {
+  return fk_hold_times(&c->fleet->hold[spot != 0], c->now);
 }
 
 #define DEAR 4.0 /* times what its replicas would cost on the cheapest machines */
@@ -906,13 +919,15 @@
 /* Idle machines that the plan has no use for, those idle for longest first. */
 static void give_back_idle(FkController *c, const Bins *bins) {
   g_autoptr(GPtrArray) idle = g_ptr_array_new();
+  const double times[2] = {fk_hold_times(&c->fleet->hold[FALSE], c->now),
+                           fk_hold_times(&c->fleet->hold[TRUE], c->now)};
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->machines);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkMachine *m = p;
-    if (m->rec && !m->mark && !m->books->len && m->pend_cpus <= 0 && fk_type_of(c, m) &&
-        fk_time_between(m->idle_since, c->now) > idle_limit_s(c, m))
+    if (m->rec && !m->mark && !m->want_mark && !m->books->len && m->pend_cpus <= 0 && fk_type_of(c, m) &&
+        fk_time_between(m->idle_since, c->now) > idle_limit_s(c, m, times))
       g_ptr_array_add(idle, m);
   }
   g_ptr_array_sort(idle, longest_idle);
@@ -931,7 +946,8 @@
         spare--;
         continue;
       }
-      fk_roster_mark(c, m, "idle", -1);
+      fk_roster_mark(c, m, FK_MARK_IDLE, -1);
+      fk_hold_returned(&c->fleet->hold[m->rec->spot != 0], m->type->cpus, c->now);
       idle->pdata[k] = NULL;
       spare--;
     }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -62,6 +62,7 @@
 #define FK_DRIFT 0.0012 /* two clocks, each off by 0.05%, and a little */
 #define FK_MARGIN_S 2.0
 
+#define FK_MARK_IDLE "idle"
 #define FK_MARK_DRAIN "drain" /* what runs there moves, then it goes */
 
 typedef struct {
@@ -266,7 +267,7 @@
 void fk_windows_tick(FkController *c);
 
 /* fleet.c */
-FkFleet *fk_fleet_new(void);
+FkFleet *fk_fleet_new(FkTime now);
 void fk_fleet_free(FkFleet *f);
 void fk_fleet_tick(FkController *c);
 void fk_fleet_reset(FkController *c);
@@ -278,6 +279,9 @@
 /* What the machines that are rented and not up yet cost, an hour. */
 double fk_fleet_boot_price(FkController *c);
 
+/* How many times as long as usual idle machines are kept (rent/hold.h). */
+double fk_fleet_hold_times(FkController *c, gboolean spot);
+
 /* money.c */
 FkMoney *fk_money_new(void);
 void fk_money_free(FkMoney *m);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -117,8 +117,10 @@
   }
   g_info("fleet:%s", line->str);
   FkView *v = c->view;
-  g_info("tasks done %u, mean %.1f s from booking to end; services %.2f a second", v->took_count,
-         v->took_count ? v->took_s / v->took_count : 0, v->service_rate);
+  g_info("tasks done %u, mean %.1f s from booking to end; services %.2f a second; idle machines are kept %.1f "
+         "times as long as usual, spot ones %.1f",
+         v->took_count, v->took_count ? v->took_s / v->took_count : 0, v->service_rate,
+         fk_fleet_hold_times(c, FALSE), fk_fleet_hold_times(c, TRUE));
   v->took_s = 0;
   v->took_count = 0;
 }
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -19,6 +19,12 @@
   return plenty ? MIN(pace, UNHURRIED_S) : pace;
 }
 
+static void to_write(FkController *c, FkGroup *g) {
+  if (!g->dirty)
+    g->dirty_since = c->now;
+  g->dirty = TRUE;
+}
+
 /* A home asks for a machine that reports to it to be written down. */
 void fk_roster_join(FkController *c, FkMachine *m, const FkReport *r) {
   if (m->rec || m->joining || !m->group)
@@ -30,7 +36,7 @@
   m->joining->zone = g_intern_string(r->zone);
   m->joining->spot = r->spot;
   m->joining->notice_s = -1;
-  m->group->dirty = TRUE;
+  to_write(c, m->group);
 }
 
 /* Tells the leader, through the store, why a machine should go; `why` NULL: it needn't any more. */
@@ -45,7 +51,7 @@
   m->want_mark = mark;
   m->want_clear = !mark;
   m->want_notice_s = notice_s;
-  m->group->dirty = TRUE;
+  to_write(c, m->group);
 }
 
 /* The machine is proven gone, and nothing is booked there any more. */
@@ -108,20 +114,67 @@
     c->roster_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.2, 0.5));
 }
 
-void fk_roster_tick(FkController *c) {
-  if (c->roster_sending || c->view->applied.n < c->roster_wait.n || !fk_time_reached(c->now, c->roster_after))
-    return;
-  FkOut *t = NULL;
-  guint bytes = 0;
+/* What writing the group's page now brings. In the tables' own order the first groups were dirty again by the
+ * time that a write was free, and the last never had their turn: 250 idle machines stood for minutes, each page
+ * marking one or two. So the page that settles the most goes first: what tasks wait for, then what costs money,
+ * then what only tidies up; and who waits gains, so that one idle machine has its turn as well. */
+#define GAIN_JOIN 4.0
+#define GAIN_LOST 6.0 /* silent, sick, noticed: what runs there is to go on elsewhere */
+#define GAIN_IDLE 1.0
+#define GAIN_GONE 0.1
+#define GAIN_A_SECOND 0.3
+
+static double gain_of(const FkMachine *m) {
+  if (!m->rec)
+    return m->joining ? GAIN_JOIN : 0;
+  if (m->want_gone && !m->books->len)
+    return GAIN_GONE;
+  if (m->want_clear)
+    return m->mark ? GAIN_JOIN : 0;
+  if (!m->want_mark || m->want_mark == m->mark)
+    return 0;
+  gboolean spare = g_str_equal(m->want_mark, FK_MARK_IDLE) || g_str_equal(m->want_mark, FK_MARK_DRAIN);
+  return spare ? GAIN_IDLE : GAIN_LOST;
+}
+
+typedef struct {
+  FkGroup *group;
+  double gain;
+} Due;
+
+static int by_gain(gconstpointer a, gconstpointer b) {
+  const Due *x = a, *y = b;
+  return x->gain != y->gain ? (x->gain > y->gain ? -1 : 1) : g_strcmp0(x->group->id, y->group->id);
+}
+
+static GArray *groups_due(FkController *c) {
+  GArray *due = g_array_new(FALSE, FALSE, sizeof(Due));
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->groups);
-  while (bytes < BYTES_MAX &&
-         (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX))) &&
-         g_hash_table_iter_next(&it, NULL, &p)) {
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkGroup *g = p;
     if (!g->dirty && (!g->lazy.us || !fk_time_reached(c->now, g->lazy)))
       continue;
+    Due d = {g, g->dirty ? GAIN_A_SECOND * fk_time_between(g->dirty_since, c->now) : 0};
+    for (guint i = 0; i < g->machines->len; i++)
+      d.gain += gain_of(g->machines->pdata[i]);
+    g_array_append_val(due, d);
+  }
+  g_array_sort(due, by_gain);
+  return due;
+}
+
+void fk_roster_tick(FkController *c) {
+  if (c->roster_sending || c->view->applied.n < c->roster_wait.n || !fk_time_reached(c->now, c->roster_after))
+    return;
+  FkOut *t = NULL;
+  guint bytes = 0;
+  g_autoptr(GArray) due = groups_due(c);
+  for (guint i = 0; i < due->len && bytes < BYTES_MAX &&
+                    (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX)));
+       i++) {
+    FkGroup *g = g_array_index(due, Due, i).group;
     guint size;
     GPtrArray *members = page_wanted(c, g, &size);
     if (!members) {
@@ -137,6 +190,7 @@
     if (fk_group_mine(c, g))
       fk_txn_guard(t, fk_key(FK_KEY_GROUP, g->id), g->rev);
     fk_txn_put(t, fk_key(FK_KEY_PAGE, g->id), r, (FkRev){0});
+    g->dirty_since = c->now; /* it waits anew, should anything be left */
     bytes += size;
   }
   if (!t)
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -150,7 +150,8 @@
   FkTime theirs_until; /* another has just taken it from us: that its workers come back proves nothing */
   gboolean was_mine;
   gboolean wanted;  /* to be claimed: its workers can't reach their home, or a start must be made void */
-  gboolean dirty;   /* its page is to be written */
+  gboolean dirty;   /* its page is to be written ... */
+  FkTime dirty_since;
   FkTime lazy;      /* ... by then at the latest: somebody is to be taken out of it; 0: nobody */
   GHashTable *back; /* machines that came back from their home lately -> FkBack* */
 } FkGroup;
