--- a/src/core/place.c
+++ b/src/core/place.c
@@ -38,8 +38,8 @@
   const FkJob *x = *(FkJob *const *)a, *y = *(FkJob *const *)b;
   if (x->spec->rank != y->spec->rank)
     return (int)x->spec->rank - (int)y->spec->rank;
-  if (x->below != y->below)
-    return x->below ? -1 : 1;
+  if (x->standing != y->standing)
+    return (int)x->standing - (int)y->standing;
   gboolean hope_x = x->latest_s < G_MAXDOUBLE, hope_y = y->latest_s < G_MAXDOUBLE;
   if (hope_x != hope_y)
     return hope_x ? -1 : 1;
@@ -65,6 +65,40 @@
   return best;
 }
 
+/* Where the teams stand, by what waits and what is booked now. In the settings' order. */
+static FkStanding *standings(FkController *c, GPtrArray *jobs) {
+  guint n = c->settings->teams->len;
+  g_autofree FkClaimant *claimants = g_new0(FkClaimant, n);
+  double cpus = 0, gpus = 0;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    const FkMachine *m = p;
+    const FkType *t = m->rec && !m->mark ? fk_type_of(c, m) : NULL;
+    cpus += t ? t->cpus : 0;
+    gpus += t ? t->gpus : 0;
+  }
+  for (guint i = 0; i < n; i++) {
+    const FkTeam *t = c->settings->teams->pdata[i];
+    const FkTeamUse *use = fk_view_team(c->view, t->name);
+    claimants[i] = (FkClaimant){.guarantee = fk_share_dominant(t->cpus, t->gpus, cpus, gpus),
+                                .most = t->cpus_max,
+                                .used = fk_share_dominant(use->cpus, use->gpus, cpus, gpus)};
+  }
+  for (guint i = 0; i < jobs->len; i++) {
+    const FkJob *j = jobs->pdata[i];
+    double tasks = fk_job_waiting(j);
+    claimants[fk_settings_team_index(c->settings, j->spec->team)].wanted +=
+        fk_share_dominant(tasks * j->spec->cpus, tasks * j->spec->gpus, cpus, gpus);
+  }
+  fk_share_out(claimants, n, cpus);
+  FkStanding *out = g_new(FkStanding, n);
+  for (guint i = 0; i < n; i++)
+    out[i] = fk_share_standing(&claimants[i]);
+  return out;
+}
+
 static GPtrArray *waiting_jobs(FkController *c) {
   GPtrArray *jobs = g_ptr_array_new();
   GHashTableIter it;
@@ -73,13 +107,15 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkJob *j = p;
     if (fk_job_waiting(j) && fk_time_reached(c->now, j->retry_at) &&
-        fk_settings_team(c->settings, j->spec->team)) {
-      j->latest_s = fk_job_latest_start(c, j, 1.0);
-      j->below =
-          fk_view_team(c->view, j->spec->team)->cpus < fk_settings_team(c->settings, j->spec->team)->cpus;
-      j->left_cpu_s = fk_job_waiting(j) * fk_view_run_s(c->view, j->spec) * j->spec->cpus;
+        fk_settings_team(c->settings, j->spec->team))
       g_ptr_array_add(jobs, j);
-    }
+  }
+  g_autofree FkStanding *standing = standings(c, jobs);
+  for (guint i = 0; i < jobs->len; i++) {
+    FkJob *j = jobs->pdata[i];
+    j->latest_s = fk_job_latest_start(c, j, 1.0);
+    j->standing = standing[fk_settings_team_index(c->settings, j->spec->team)];
+    j->left_cpu_s = fk_job_waiting(j) * fk_view_run_s(c->view, j->spec) * j->spec->cpus;
   }
   g_ptr_array_sort(jobs, job_order);
   c->services_waiting = 0;
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -62,11 +62,14 @@
 
 gboolean fk_team_limited(const FkTeam *t) { return fk_limited(t->cpus_max) || fk_limited(t->gpus_max); }
 
+guint fk_settings_team_index(const FkSettings *s, const char *name) {
+  guint i = 0;
+  while (i < s->teams->len && !g_str_equal(((FkTeam *)s->teams->pdata[i])->name, name))
+    i++;
+  return i;
+}
+
 FkTeam *fk_settings_team(const FkSettings *s, const char *name) {
-  for (guint i = 0; i < s->teams->len; i++) {
-    FkTeam *t = s->teams->pdata[i];
-    if (g_str_equal(t->name, name))
-      return t;
-  }
-  return NULL;
+  guint i = fk_settings_team_index(s, name);
+  return i < s->teams->len ? s->teams->pdata[i] : NULL;
 }
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -57,3 +57,5 @@
 /* Whether any limit of the team's must be kept: without one no launch of it needs the team's record. */
 gboolean fk_team_limited(const FkTeam *t);
 FkTeam *fk_settings_team(const FkSettings *s, const char *name);
+/* Its place among the teams; `name` must be one of them. */
+guint fk_settings_team_index(const FkSettings *s, const char *name);
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -3,6 +3,7 @@
 #include "blame/blame.h"
 #include "core/job.h"
 #include "core/settings.h"
+#include "teams/share.h"
 
 typedef enum {
   FK_KEY_OTHER,
@@ -109,7 +110,7 @@
   guint32 gang_booked;    /* tasks that it has booked so far */
   FkTime preempted;       /* room for it was asked for lately */
   double left_cpu_s;      /* work that waits; sorts the queue */
-  gboolean below;         /* its team uses less than its guarantee */
+  FkStanding standing;    /* its team's, among those who want room */
   guint place;            /* in the queue, from 1; 0: never yet */
   FkTime probed;
   double latest_s;     /* how far off its latest useful start is; sorts the queue */
