Whose turn it is: fair shares, low ranks yield, serve-by-half watched and lifted; borrowed room reclaimed

Change: src/teams/share.h (pure): guarantees first, the rest by water-filling; src/core/turn.c holds the order, by what each team is due within a band. Who has a lower rank leaves a machine's room alone while an array whose turn it is waits for such room. src/teams/served.h (pure) counts by class and team how much is served; told once a window, and what is served by less than half is lifted to a floor of 5% of the fleet. src/core/reclaim.c asks borrowed room back where the least work is lost, after 15 s, from who holds a quarter more than it is due. Nothing dear is rented for guests of a class without aims. Tests: tables and properties of shares, served, hold; schedules guests*, faulty* with serve-by-half asserted.

--- a/src/blame/blame.c
+++ b/src/blame/blame.c
@@ -3,7 +3,8 @@
 #define PLACES 8           /* machines remembered of a job, and jobs of a machine: the latest */
 #define DOUBT_PLACES 2     /* machines that a job must fail on, having succeeded nowhere */
 #define SICK_FAILURES 3    /* in a row */
-#define SICK_MOST_OF_ONE 2 /* ... of which one job of which nothing else is known may have so many */
+#define SICK_MOST_OF_ONE 2 /* ... of which one job of which nothing else is known may have so many ... */
+#define UNPROVEN 0.5       /* ... and each counts so much */
 #define AVOID_S 60.0       /* a machine may have been mended */
 #define FREE_TRIES 3       /* of a job that has succeeded somewhere, before it pauses */
 #define PAUSE_S 0.5
@@ -173,15 +174,15 @@
 
 gboolean fk_blame_sick(const FkBlame *b, const char *machine) {
   const Faults *m = g_hash_table_lookup(b->machines, machine);
-  guint against = 0;
+  double against = 0;
   for (guint i = 0; m && i < m->places->len; i++) {
     const Place *p = &g_array_index(m->places, Place, i);
     const Faults *j = g_hash_table_lookup(b->jobs, p->id);
     if (fk_blame_doubted(b, p->id))
       continue;
-    /* A job's failures here alone say little, however many tasks it had: it may fail everywhere, and not have
-     * been tried elsewhere yet. */
-    against += j && (j->ever || j->goes_on) ? p->times : MIN(p->times, SICK_MOST_OF_ONE);
+    /* The failures here of a job that has worked nowhere yet say little, however many tasks it had: it may
+     * fail everywhere. Its next try, which is elsewhere and soon, tells. */
+    against += j && (j->ever || j->goes_on) ? p->times : UNPROVEN * MIN(p->times, SICK_MOST_OF_ONE);
   }
   return against >= SICK_FAILURES;
 }
--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -2,7 +2,6 @@
 #pragma once
 #include "core/internal.h"
 
-#define FK_EPS 1e-6
 #define FK_LAUNCH_MIN 2   /* writes that must be free for a launch ... */
 #define FK_LAUNCH_LEAST 4 /* ... which may then take so many: a little debt is soon paid */
 
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -1,5 +1,6 @@
 /* The controller: its session with the store, and the users' requests. */
 #include "core/internal.h"
+#include "core/turn.h"
 
 #include <string.h>
 
@@ -266,6 +267,7 @@
     c->life = life;
   }
   fk_view_clear(c->view);
+  fk_turn_forget(c->turn);
   g_hash_table_remove_all(c->peer_proof);
   g_clear_pointer(&c->list_after, g_free);
   c->list_epoch.n = 0;
@@ -924,6 +926,7 @@
   c->heard = g_array_new(FALSE, FALSE, sizeof(FkHeard));
   c->fleet = fk_fleet_new(now);
   c->money = fk_money_new();
+  c->turn = fk_turn_new(s);
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
   c->window_end = fk_time_add(now, s->tuning.window_s);
   c->store_ok = now;
@@ -961,6 +964,7 @@
   g_hash_table_unref(c->types);
   fk_fleet_free(c->fleet);
   fk_money_free(c->money);
+  fk_turn_free(c->turn);
   fk_view_free(c->view);
   g_rand_free(c->rand);
   g_free(c->list_after);
@@ -1024,6 +1028,7 @@
   fk_view_rate_services(c->view);
   fk_view_review_doubts(c->view);
   metered(c, FK_COST_CLAIMS, fk_claims_tick);
+  metered(c, FK_COST_USERS, fk_serving_tick);
   metered(c, FK_COST_HOMES, fk_homes_tick);
   metered(c, FK_COST_HOMES, fk_ends_tick);
   metered(c, FK_COST_CLAIMS, fk_windows_tick);
--- a/src/core/displace.c
+++ b/src/core/displace.c
@@ -1,9 +1,10 @@
 /* Room for a task where tasks of a lower rank run: whom it would cost how much, and where the least. */
 #include "core/batch.h"
 
-#define VICTIMS_MAX 3  /* of one service */
-#define BUSY_COST 20.0 /* core-seconds: a job that is still being launched changes its chunks all the time   \
-                        */
+#define VICTIMS_MAX 3 /* of one service */
+#define BUSY_COST                                                                                            \
+  20.0 /* core-seconds: a job that is still being launched changes its chunks all the time                   \
+        */
 #define FETCH_COST 1000.0
 
 static gboolean leaves_at_once(const FkBookRef *b) {
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,5 +1,6 @@
 /* The fleet: what to rent for what waits and for a little headroom, and what to return. */
 #include "core/internal.h"
+#include "core/turn.h"
 
 #include <math.h>
 #include <string.h>
@@ -593,11 +594,12 @@
   Offer soonest;
   double ready = bin_offer(c, s, fk_job_waiting(j), FALSE, &soonest) ? soonest.ready_s : 60;
   double patience = patience_s(c, j, ready), run_s = fk_view_run_s(c->view, s);
+  gboolean frugal = s->spot && fk_turn_frugal(c, j);
   while (waiting) {
     int b = bin_earliest(bins, s);
     double at = b >= 0 ? g_array_index(bins->list, Bin, b).at : G_MAXDOUBLE;
     /* spot is cheap: not so much patience there */
-    gboolean dear = at > patience, cheap = at > patience * c->settings->tuning.spot_patience;
+    gboolean dear = at > patience && !frugal, cheap = at > patience * c->settings->tuning.spot_patience;
     Offer offer;
     if ((dear || (cheap && s->spot)) && bin_offer(c, s, waiting, !dear, &offer) && offer.ready_s < at) {
       plan_hire(bins, &offer, waiting);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -58,7 +58,9 @@
 typedef struct FkEnding FkEnding;
 typedef struct FkTell FkTell;
 typedef struct FkMoney FkMoney;
+typedef struct FkTurn FkTurn;
 
+#define FK_EPS 1e-6     /* amounts are sums of fractions */
 #define FK_DRIFT 0.0012 /* two clocks, each off by 0.05%, and a little */
 #define FK_MARGIN_S 2.0
 
@@ -168,13 +170,16 @@
   FkSizing sizing;
   FkFleet *fleet;
   FkMoney *money;
+  FkTurn *turn;
+  FkTime served_looked;
+  gboolean starving; /* some class or team is, by the latest look */
   GHashTable *types; /* name -> FkType */
   gboolean types_pending;
   FkTime types_next;
   FkTime sweep_next;
   gboolean stopping;
   FkRev stop_wait;
-  FkTime stop_after, stop_look;
+  FkTime stop_after, stop_look, reclaimed;
   gboolean finalizing;
   FkRev finalize_wait;
 };
@@ -224,6 +229,16 @@
 /* quota.c */
 void fk_quota_tick(FkController *c);
 
+/* serving.c */
+void fk_serving_tick(FkController *c);
+/* A line for each class and team; those of which less than half is served as a warning. */
+void fk_serving_tell(FkController *c);
+/* The job's class is hardly served. */
+gboolean fk_serving_starved(FkController *c, const FkJob *j);
+/* The job is of a class or team of which less than half is served, and which hasn't a floor of the fleet's
+ * `room` (CPUs) yet. */
+gboolean fk_serving_lifts(FkController *c, const FkJob *j, double room);
+
 /* tell.c */
 FkTell *fk_tell_new(void);
 void fk_tell_free(FkTell *t);
@@ -293,8 +308,9 @@
 /* recover.c */
 /* Tasks of services booked there that nobody has cancelled. */
 guint fk_services_on(const FkMachine *m);
-/* Adds to `names`, up to `most_names`, the ids of those of the silent machines `serving` (with services, sorted
- * here) whose turn it is to be returned. */
+/* Adds to `names`, up to `most_names`, the ids of those of the silent machines `serving` (with services,
+ * sorted here) whose turn it is to be returned. */
 void fk_recover_give_up(FkController *c, GPtrArray *serving, GPtrArray *names, guint most_names);
-/* FkJob, borrowed from the view, one for each task of a service on a silent machine: room for them is wanted. */
+/* FkJob, borrowed from the view, one for each task of a service on a silent machine: room for them is wanted.
+ */
 GPtrArray *fk_recover_to_place(FkController *c);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -1,6 +1,7 @@
 /* The leader: a key on a hold names it. It places long jobs, sizes the short partition, rents and returns.
  * Nothing is unsafe when two controllers think they lead: every decision is guarded by itself. */
 #include "core/batch.h"
+#include "core/stops.h"
 
 #include <string.h>
 
@@ -117,10 +118,11 @@
   }
   g_info("fleet:%s", line->str);
   FkView *v = c->view;
-  g_info("tasks done %u, mean %.1f s from booking to end; services %.2f a second; idle machines are kept %.1f "
-         "times as long as usual, spot ones %.1f",
-         v->took_count, v->took_count ? v->took_s / v->took_count : 0, v->service_rate,
-         fk_fleet_hold_times(c, FALSE), fk_fleet_hold_times(c, TRUE));
+  g_info(
+      "tasks done %u, mean %.1f s from booking to end; services %.2f a second; idle machines are kept %.1f "
+      "times as long as usual, spot ones %.1f",
+      v->took_count, v->took_count ? v->took_s / v->took_count : 0, v->service_rate,
+      fk_fleet_hold_times(c, FALSE), fk_fleet_hold_times(c, TRUE));
   v->took_s = 0;
   v->took_count = 0;
 }
@@ -206,6 +208,7 @@
     size_window(c);
     log_fleet(c);
     fk_money_tell(c);
+    fk_serving_tell(c);
   }
 }
 
@@ -267,54 +270,9 @@
 
 #define PREEMPT_S 4.0
 
-static void stop_done(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
-  c->stopping = FALSE;
-  c->stop_after = fk_time_add(c->now, 0.3);
-  if (o == FK_OK || o == FK_CONFLICT)
-    c->stop_wait = epoch;
-}
-
-/* A transaction that asks booked tasks to leave. */
-typedef struct {
-  FkOut *txn;
-  GHashTable *chunks; /* path -> FkChunk, the transaction's */
-} Stops;
-
-static void stops_add(FkController *c, Stops *s, FkJob *j, guint32 task) {
-  guint32 index = task / j->spec->chunk;
-  if (!j->chunks[index])
-    return;
-  if (!s->txn) {
-    s->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
-    s->chunks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  }
-  g_autofree char *path = fk_key_chunk(j->spec->id, index);
-  FkChunk *copy = g_hash_table_lookup(s->chunks, path);
-  if (!copy) {
-    if (s->txn->writes->len >= MIN(8, c->settings->txn_ops))
-      return;
-    copy = fk_chunk_copy(j->chunks[index]);
-    FkRecord *r = fk_record_new(FK_KEY_CHUNK);
-    r->chunk = copy;
-    fk_txn_guard(s->txn, g_strdup(path), copy->rev);
-    fk_txn_put(s->txn, g_strdup(path), r, (FkRev){0});
-    g_hash_table_insert(s->chunks, g_strdup(path), copy);
-  }
-  fk_chunk_stop(copy, task);
-}
-
-static void stop_all_of(FkController *c, Stops *s, FkJob *j) {
-  for (guint32 i = 0; i < j->n_chunks; i++)
-    for (guint k = 0; j->chunks[i] && k < j->chunks[i]->bookings->len; k++) {
-      FkBooking *b = &g_array_index(j->chunks[i]->bookings, FkBooking, k);
-      if (!b->stop)
-        stops_add(c, s, j, b->task);
-    }
-}
-
 /* Room for a job of a higher rank that fits nowhere: where the least work is lost, and the image is at hand.
  */
-static void preempt_for(FkController *c, Stops *stops, FkJob *j, GPtrArray *machines) {
+static void preempt_for(FkController *c, FkStops *stops, FkJob *j, GPtrArray *machines) {
   if (!fk_team_allows(c, j->spec) || fk_time_between(j->preempted, c->now) < PREEMPT_S ||
       fk_best_for_long(c, j, machines, NULL))
     return;
@@ -325,7 +283,7 @@
   for (guint i = 0; i < victims->len; i++) {
     FkBookRef *v = &g_array_index(victims, FkBookRef, i);
     g_info("%s/%u leaves %s for %s", v->job->spec->id, v->task, best->id, j->spec->id);
-    stops_add(c, stops, v->job, v->task);
+    fk_stops_add(c, stops, v->job, v->task);
   }
   j->preempted = c->now;
   /* two services that wait must not count on the same room */
@@ -338,7 +296,7 @@
 
 /* A machine that the cloud will take back: what can't end there in time moves now, rather than lose the rest
  * of the notice as well. A task that can save does so; one that will just end in time stays. */
-static void leave_noticed(FkController *c, Stops *stops) {
+static void leave_noticed(FkController *c, FkStops *stops) {
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->machines);
@@ -355,7 +313,7 @@
         continue;
       double left = fk_view_run_s(c->view, s) - fk_time_between(b->since, c->now);
       if (s->shape == FK_SHAPE_SERVICE || left > 1.5 * notice)
-        stops_add(c, stops, b->job, b->task);
+        fk_stops_add(c, stops, b->job, b->task);
     }
   }
 }
@@ -367,7 +325,7 @@
   c->stop_look = fk_time_add(c->now, 0.1 + 1e-4 * g_hash_table_size(c->view->machines));
   if (c->stopping || c->view->applied.n < c->stop_wait.n || !fk_time_reached(c->now, c->stop_after))
     return;
-  Stops stops = {0};
+  FkStops stops = {0};
   g_autoptr(GPtrArray) machines = fk_usable_machines(c);
   leave_noticed(c, &stops);
   GHashTableIter it;
@@ -385,17 +343,10 @@
     }
     if (j->spec->shape == FK_SHAPE_GANG && !j->cancelled && j->booked && fk_job_waiting(j) &&
         fk_time_reached(c->now, fk_time_add(j->gang_until, 2)))
-      stop_all_of(c, &stops, j);
-  }
-  if (!stops.txn)
-    return;
-  g_hash_table_unref(stops.chunks);
-  if (!stops.txn->writes->len) {
-    fk_out_free(stops.txn);
-    return;
+      fk_stops_all_of(c, &stops, j);
   }
-  c->stopping = TRUE;
-  fk_txn_send(c, stops.txn, stop_done, NULL, NULL);
+  fk_reclaim(c, &stops);
+  fk_stops_send(c, &stops);
 }
 
 void fk_leader_act(FkController *c) {
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -1,6 +1,7 @@
 /* The long path: the leader places services, gangs and long arrays, each task on the best machine that isn't
  * barred; and the other controllers leave it the room that it would take. */
 #include "core/batch.h"
+#include "core/turn.h"
 
 #define GANG_LAUNCH_S 8.0 /* all transactions of one gang's launch */
 
@@ -151,7 +152,8 @@
         if (displace(c, b, j, &usable, best ? LOSS_MAX : G_MAXDOUBLE))
           continue;
       }
-      if (!best || !fk_leaves_reserve(c, best, j->spec, &spare) || !fk_batch_book(c, b, j, best))
+      if (!best || fk_turn_yields(c, j, best) || !fk_leaves_reserve(c, best, j->spec, &spare) ||
+          !fk_batch_book(c, b, j, best))
         break;
     }
   }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -1,6 +1,7 @@
-/* Placement: the order of waiting jobs, and a launch at a time. The long path, the leader's, comes first,
+/* Placement, a launch at a time. The long path, the leader's, comes first,
  * then each controller's short path; what both book goes into one transaction. */
 #include "core/batch.h"
+#include "core/turn.h"
 
 #include <string.h>
 
@@ -32,101 +33,6 @@
   }
 }
 
-/* ------------------------------------------------------------------ order of jobs */
-
-static int job_order(gconstpointer a, gconstpointer b) {
-  const FkJob *x = *(FkJob *const *)a, *y = *(FkJob *const *)b;
-  if (x->spec->rank != y->spec->rank)
-    return (int)x->spec->rank - (int)y->spec->rank;
-  if (x->standing != y->standing)
-    return (int)x->standing - (int)y->standing;
-  gboolean hope_x = x->latest_s < G_MAXDOUBLE, hope_y = y->latest_s < G_MAXDOUBLE;
-  if (hope_x != hope_y)
-    return hope_x ? -1 : 1;
-  /* Under overload not all can be on time: what is soonest complete makes the most jobs so. */
-  if (hope_x && x->left_cpu_s != y->left_cpu_s)
-    return x->left_cpu_s < y->left_cpu_s ? -1 : 1;
-  return x->submitted_us < y->submitted_us ? -1 : x->submitted_us > y->submitted_us;
-}
-
-double fk_job_latest_start(FkController *c, const FkJob *j, double slack) {
-  const FkSpec *s = j->spec;
-  double left = slack * fk_view_run_s(c->view, s) + fk_time_between((FkTime){j->submitted_us}, c->now);
-  double best = G_MAXDOUBLE;
-  if (s->deadline_s >= left)
-    best = s->deadline_s - left;
-  for (guint i = 0; i < c->settings->objectives->len; i++) {
-    const FkObjective *o = c->settings->objectives->pdata[i];
-    /* a service's aim is its start: after an outage those that can still have it come before those that can't */
-    if (g_strcmp0(o->kind, s->shape == FK_SHAPE_SERVICE ? "wait" : "finished") == 0 &&
-        g_strcmp0(o->class_name, s->class_name) == 0 && o->within_s >= left)
-      best = MIN(best, o->within_s - left);
-  }
-  return best;
-}
-
-/* Where the teams stand, by what waits and what is booked now. In the settings' order. */
-static FkStanding *standings(FkController *c, GPtrArray *jobs) {
-  guint n = c->settings->teams->len;
-  g_autofree FkClaimant *claimants = g_new0(FkClaimant, n);
-  double cpus = 0, gpus = 0;
-  GHashTableIter it;
-  gpointer p;
-  g_hash_table_iter_init(&it, c->view->machines);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    const FkMachine *m = p;
-    const FkType *t = m->rec && !m->mark ? fk_type_of(c, m) : NULL;
-    cpus += t ? t->cpus : 0;
-    gpus += t ? t->gpus : 0;
-  }
-  for (guint i = 0; i < n; i++) {
-    const FkTeam *t = c->settings->teams->pdata[i];
-    const FkTeamUse *use = fk_view_team(c->view, t->name);
-    claimants[i] = (FkClaimant){.guarantee = fk_share_dominant(t->cpus, t->gpus, cpus, gpus),
-                                .most = t->cpus_max,
-                                .used = fk_share_dominant(use->cpus, use->gpus, cpus, gpus)};
-  }
-  for (guint i = 0; i < jobs->len; i++) {
-    const FkJob *j = jobs->pdata[i];
-    double tasks = fk_job_waiting(j);
-    claimants[fk_settings_team_index(c->settings, j->spec->team)].wanted +=
-        fk_share_dominant(tasks * j->spec->cpus, tasks * j->spec->gpus, cpus, gpus);
-  }
-  fk_share_out(claimants, n, cpus);
-  FkStanding *out = g_new(FkStanding, n);
-  for (guint i = 0; i < n; i++)
-    out[i] = fk_share_standing(&claimants[i]);
-  return out;
-}
-
-static GPtrArray *waiting_jobs(FkController *c) {
-  GPtrArray *jobs = g_ptr_array_new();
-  GHashTableIter it;
-  gpointer p;
-  g_hash_table_iter_init(&it, c->view->jobs);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    FkJob *j = p;
-    if (fk_job_waiting(j) && fk_time_reached(c->now, j->retry_at) &&
-        fk_settings_team(c->settings, j->spec->team))
-      g_ptr_array_add(jobs, j);
-  }
-  g_autofree FkStanding *standing = standings(c, jobs);
-  for (guint i = 0; i < jobs->len; i++) {
-    FkJob *j = jobs->pdata[i];
-    j->latest_s = fk_job_latest_start(c, j, 1.0);
-    j->standing = standing[fk_settings_team_index(c->settings, j->spec->team)];
-    j->left_cpu_s = fk_job_waiting(j) * fk_view_run_s(c->view, j->spec) * j->spec->cpus;
-  }
-  g_ptr_array_sort(jobs, job_order);
-  c->services_waiting = 0;
-  for (guint i = 0; i < jobs->len; i++) {
-    FkJob *j = jobs->pdata[i];
-    j->place = i + 1;
-    c->services_waiting += j->spec->shape == FK_SHAPE_SERVICE ? fk_job_waiting(j) : 0;
-  }
-  return jobs;
-}
-
 GPtrArray *fk_usable_machines(FkController *c) {
   GPtrArray *all = g_ptr_array_new();
   GHashTableIter it;
@@ -226,7 +132,7 @@
     return;
   }
   fk_pending_clear(c);
-  g_autoptr(GPtrArray) jobs = waiting_jobs(c);
+  g_autoptr(GPtrArray) jobs = fk_turn_waiting(c);
   if (!jobs->len)
     return;
   c->launch_after = fk_time_add(c->now, MIN(1.0, LOOK_PER_MACHINE * g_hash_table_size(c->view->machines)));
--- a/src/core/quota.c
+++ b/src/core/quota.c
@@ -76,7 +76,8 @@
          free > SHARE_TASKS * largest * (g_hash_table_size(c->view->nodes) + LEADER_WEIGHT - 1);
 }
 
-/* Shares are of CPUs: a team whose GPUs are limited too needs its record, and one without a limit needs none. */
+/* Shares are of CPUs: a team whose GPUs are limited too needs its record, and one without a limit needs none.
+ */
 static gboolean splittable(const FkTeam *team) {
   return fk_limited(team->cpus_max) && !fk_limited(team->gpus_max);
 }
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -115,9 +115,9 @@
 }
 
 /* What writing the group's page now brings. In the tables' own order the first groups were dirty again by the
- * time that a write was free, and the last never had their turn: 250 idle machines stood for minutes, each page
- * marking one or two. So the page that settles the most goes first: what tasks wait for, then what costs money,
- * then what only tidies up; and who waits gains, so that one idle machine has its turn as well. */
+ * time that a write was free, and the last never had their turn: 250 idle machines stood for minutes, each
+ * page marking one or two. So the page that settles the most goes first: what tasks wait for, then what costs
+ * money, then what only tidies up; and who waits gains, so that one idle machine has its turn as well. */
 #define GAIN_JOIN 4.0
 #define GAIN_LOST 6.0 /* silent, sick, noticed: what runs there is to go on elsewhere */
 #define GAIN_IDLE 1.0
@@ -171,8 +171,9 @@
   FkOut *t = NULL;
   guint bytes = 0;
   g_autoptr(GArray) due = groups_due(c);
-  for (guint i = 0; i < due->len && bytes < BYTES_MAX &&
-                    (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX)));
+  for (guint i = 0;
+       i < due->len && bytes < BYTES_MAX &&
+       (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX)));
        i++) {
     FkGroup *g = g_array_index(due, Due, i).group;
     guint size;
--- a/src/core/short.c
+++ b/src/core/short.c
@@ -1,5 +1,6 @@
 /* The short path: batch sampling and late binding, by each controller on its own machines. */
 #include "core/batch.h"
+#include "core/turn.h"
 
 #include <math.h>
 #include <string.h>
@@ -128,7 +129,8 @@
   }
   for (guint i = 0; i < n && !fk_batch_full(c, b); i++) {
     FkJob *j = waiting[i];
-    if (spot_first && !m->rec->spot && j->spec->spot && !all_had_their_turn(c, j))
+    if ((spot_first && !m->rec->spot && j->spec->spot && !all_had_their_turn(c, j)) ||
+        fk_turn_yields(c, j, m))
       continue;
     while (short_is_ours(c, j) && fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) &&
            fk_job_allows(c, j, m) && fk_leaves_reserve(c, m, j->spec, spare) && fk_batch_book(c, b, j, m))
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -209,6 +209,7 @@
   v->final_order = g_queue_new();
   v->corrections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   v->blame = fk_blame_new();
+  v->served = fk_served_new();
   v->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   v->touched = g_hash_table_new(g_str_hash, g_str_equal);
   return v;
@@ -227,6 +228,7 @@
   g_hash_table_remove_all(v->waits);
   g_hash_table_remove_all(v->orphans);
   fk_blame_clear(v->blame);
+  fk_served_clear(v->served);
   g_hash_table_remove_all(v->touched);
   g_clear_pointer(&v->leader, g_free);
   g_clear_pointer(&v->leader_life, g_free);
@@ -254,6 +256,7 @@
   g_hash_table_unref(v->corrections);
   g_hash_table_unref(v->orphans);
   fk_blame_free(v->blame);
+  fk_served_free(v->served);
   g_hash_table_unref(v->touched);
   fk_spec_unref(v->service);
   g_free(v);
@@ -722,6 +725,8 @@
       char *path = fk_key_chunk(id, i);
       g_hash_table_replace(v->orphans, path, g_memdup2(&j->bases[i]->rev, sizeof(FkRev)));
     }
+  if (!j->cancelled)
+    fk_served_ended(v->served, j->spec->class_name, j->spec->team);
   fk_blame_job_gone(v->blame, id);
   g_hash_table_remove(v->jobs, id);
 }
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -3,6 +3,7 @@
 #include "blame/blame.h"
 #include "core/job.h"
 #include "core/settings.h"
+#include "teams/served.h"
 #include "teams/share.h"
 
 typedef enum {
@@ -110,6 +111,7 @@
   guint32 gang_booked;    /* tasks that it has booked so far */
   FkTime preempted;       /* room for it was asked for lately */
   double left_cpu_s;      /* work that waits; sorts the queue */
+  FkRank rank_now;        /* its place in the queue: its rank, or what its team has a claim to */
   FkStanding standing;    /* its team's, among those who want room */
   guint place;            /* in the queue, from 1; 0: never yet */
   FkTime probed;
@@ -150,8 +152,8 @@
   FkTime claim_after, lost_until;
   FkTime theirs_until; /* another has just taken it from us: that its workers come back proves nothing */
   gboolean was_mine;
-  gboolean wanted;  /* to be claimed: its workers can't reach their home, or a start must be made void */
-  gboolean dirty;   /* its page is to be written ... */
+  gboolean wanted; /* to be claimed: its workers can't reach their home, or a start must be made void */
+  gboolean dirty;  /* its page is to be written ... */
   FkTime dirty_since;
   FkTime lazy;      /* ... by then at the latest: somebody is to be taken out of it; 0: nobody */
   GHashTable *back; /* machines that came back from their home lately -> FkBack* */
@@ -230,6 +232,7 @@
   double took_s; /* of arrays' tasks done in this window: from booking to end, summed */
   guint took_count;
   double lost_cpu_s; /* of arrays' tasks that ended without a result in this window */
+  FkServed *served;
   FkBlame *blame;
   FkTime doubts_reviewed;
   GHashTable *orphans; /* paths of chunks without a job -> FkRev* */
@@ -268,6 +271,6 @@
 void fk_job_unref(gpointer j);
 FkPhase fk_job_phase(const FkJob *j);
 gboolean fk_job_complete(const FkJob *j);
-/* Tasks that want a place. Of a job that seems to fail everywhere that is one, and only when none is under way:
- * nothing is rented, displaced or kept for the others. */
+/* Tasks that want a place. Of a job that seems to fail everywhere that is one, and only when none is under
+ * way: nothing is rented, displaced or kept for the others. */
 guint32 fk_job_waiting(const FkJob *j);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -20,7 +20,9 @@
   gboolean masses;   /* zones are cut off, many machines die or hang at once */
   gboolean more;     /* a slow store, one controller alone refused, controllers that refuse each other */
   double stillborn;  /* chance that a rented machine never comes up */
-  gboolean clocks;   /* the steady clocks are off by all that PROTOCOL allows, in turn */
+  double faulty;     /* chance that a job fails on every machine, until its user cancels it after a while */
+  gboolean guests; /* a team without guarantee or limit comes with one huge array, long tasks and tiny jobs */
+  gboolean clocks; /* the steady clocks are off by all that PROTOCOL allows, in turn */
   /* The growth experiment: nothing but so many services of one task, all up when a share of the machines is
    * lost at once. */
   guint services;
@@ -44,6 +46,8 @@
 typedef struct {
   guint submitted, accepted, done, cancelled, started, finished;
   guint unfinished;
+  guint worst_class; /* percent of the jobs of the class that was served worst; 100 where none is due */
+  guint sick;        /* healthy machines that were returned though nothing else was wrong with them */
   guint requests, writes, refused; /* at the store */
   char *broken;                    /* the first broken rule, or NULL */
   SimRecovery recovery;
--- a/src/teams/share.c
+++ b/src/teams/share.c
@@ -13,7 +13,8 @@
 
 static double guaranteed(const FkClaimant *c) { return MIN(c->guarantee, demand(c)); }
 
-/* What all are due together when those who want more than their guarantee are filled up to `level` above it. */
+/* What all are due together when those who want more than their guarantee are filled up to `level` above it.
+ */
 static double at_level(const FkClaimant *claimants, guint n, double level) {
   double sum = 0;
   for (guint i = 0; i < n; i++)
@@ -39,9 +40,8 @@
   /* more guaranteed than there is: all give way alike */
   double scale = sure > room && sure > 0 ? room / sure : 1;
   for (guint i = 0; i < n; i++)
-    claimants[i].due =
-        scale < 1 ? scale * guaranteed(&claimants[i])
-                  : MIN(demand(&claimants[i]), guaranteed(&claimants[i]) + level);
+    claimants[i].due = scale < 1 ? scale * guaranteed(&claimants[i])
+                                 : MIN(demand(&claimants[i]), guaranteed(&claimants[i]) + level);
 }
 
 FkStanding fk_share_standing(const FkClaimant *c) {
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "lab/world.h"
+#include "teams/limits.h"
 #include "wire/settings.h"
 
 static FkSettings *settings(void) {
@@ -22,6 +23,8 @@
   guint64 also;                           /* ... and one that once broke a rule */
   double writes_per_task, requests_per_s; /* the most that the store may be asked for; 0: any */
   double limits;                          /* the teams' limits, times this */
+  guint served;                           /* percent of each class that must be served by the end */
+  guint healthy_returned;                 /* at most; 0: any */
 } Case;
 
 #define DAY .seconds = 260, .cancels = TRUE, .machines = 12
@@ -99,6 +102,51 @@
      {DAY, .masses = TRUE, .kills = TRUE, .hangs = TRUE, .up = 8, .scale = 2, .stillborn = 0.5}},
     /* and all else beside it */
     {"masses_all", 40, FALSE, {ALL_OF(300), .masses = TRUE, .machines = 20, .up = 12, .scale = 2, FIVE}},
+    /* guests without guarantee or limit beside full teams, at the usual load and at three times; alone, with
+       crashes of one and all, with outages, with a zone lost: half of every class is served */
+    {"guests", 6, FALSE, {DAY, .guests = TRUE, .up = 10, .scale = 2}, .served = 50},
+    {"guests_full",
+     6,
+     FALSE,
+     {.seconds = 400, .submit_s = 200, .cancels = TRUE, .machines = 12, .guests = TRUE, .up = 12, .scale = 6},
+     .served = 50},
+    {"guests_troubles",
+     16,
+     FALSE,
+     {.seconds = 400,
+      .submit_s = 200,
+      .cancels = TRUE,
+      .machines = 24,
+      .guests = TRUE,
+      .up = 16,
+      .scale = 3,
+      .kills = TRUE,
+      .outages = TRUE,
+      .masses = TRUE,
+      .deaths = TRUE,
+      .late = 0.02},
+     .served = 50},
+    /* jobs that fail on every machine, a few, a tenth, half of them: their machines are healthy, and the
+       others are served */
+    {"faulty_few",
+     4,
+     FALSE,
+     {DAY, .faulty = 0.01, .up = 10, .scale = 3},
+     .served = 50,
+     .healthy_returned = 4},
+    {"faulty_tenth",
+     4,
+     FALSE,
+     {DAY, .faulty = 0.1, .up = 10, .scale = 3},
+     .served = 50,
+     .healthy_returned = 4},
+    {"faulty_half",
+     6,
+     FALSE,
+     {DAY, .faulty = 0.5, .up = 10, .scale = 3, .guests = TRUE},
+     .served = 50,
+     .healthy_returned = 4},
+    {"faulty_sick", 6, FALSE, {DAY, .faulty = 0.2, .deaths = TRUE, .kills = TRUE, .up = 10, .scale = 2}},
     /* wrong_place: a gang's launch went on after a member had left, with the same attempt number */
     {"gangs", 0, FALSE, ALL, 78},
     /* ran_twice: a home cut off from the store released by lease, its release came through late, another
@@ -113,6 +161,11 @@
     ((FkTeam *)s->teams->pdata[i])->cpus *= c->limits;
     ((FkTeam *)s->teams->pdata[i])->cpus_max *= c->limits;
   }
+  if (c->plan.guests) {
+    FkTeam *guest = g_new0(FkTeam, 1);
+    *guest = (FkTeam){g_strdup("guest"), 0, fk_limit_of(0), 0, fk_limit_of(0)};
+    g_ptr_array_add(s->teams, guest);
+  }
   const char *more = g_getenv("FK_SIM_SEEDS"); /* more schedules than CI's, by hand */
   guint64 seeds = more ? g_ascii_strtoull(more, NULL, 10) : c->seeds;
   const char *only = g_getenv("FK_SIM_ONLY"); /* one schedule, by its number */
@@ -138,6 +191,11 @@
       g_assert_cmpfloat((double)r.writes, <=, c->writes_per_task * r.started);
       g_assert_cmpfloat((double)r.requests, <=, c->requests_per_s * plan.seconds);
     }
+    g_test_message("the worst class: %u%% served; %u healthy machines returned with work on them",
+                   r.worst_class, r.sick);
+    g_assert_cmpuint(r.worst_class, >=, c->served);
+    if (c->healthy_returned)
+      g_assert_cmpuint(r.sick, <=, c->healthy_returned);
     g_assert_cmpuint(r.accepted, >, 10);
     g_assert_cmpuint(r.started, >, 10);
     if (c->all_done)
