Machines that come late or never: learnt from those that came; waits bounded by job; check tells how zeros are read

Need: a machine that was late counted as two seconds away until 2.5 boot times, and one that never came was charged for four; a guest's 33,000 starts held Elastic Sizing's p at 1 (DESIGN's first weakness). A job counts for 20 starts a window at the most; the plain mean is logged. flaxknot check prints each team's guarantees and limits.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -157,6 +157,24 @@
   b->bytes += 200;
 }
 
+/* "A big array's waiting tasks swing the mean, letting one guest team bar the whole span" (DESIGN): so no job
+ * counts for more than a few starts in a window. Short jobs of a few tasks, which Elastic Sizing is there
+ * for, weigh as they did. */
+#define WAITS_OF_ONE 20
+
+static void count_wait(FkController *c, FkWaits *w, FkJob *j) {
+  double s = fk_time_between(could_start_since(c, j), c->now);
+  w->all_sum_s += s;
+  w->all_count++;
+  if (j->waits_window != c->window)
+    j->waits_counted = 0;
+  j->waits_window = c->window;
+  if (j->waits_counted++ >= WAITS_OF_ONE)
+    return;
+  w->sum_s += s;
+  w->count++;
+}
+
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m) {
   if (j->doubted && j->spec->shape != FK_SHAPE_GANG) {
     /* one task tells whether it fails everywhere */
@@ -207,10 +225,8 @@
       g_info("%s goes to %s (%s) %.2f s after its submission%s", j->spec->id, m->id, m->rec->type,
              fk_time_between((FkTime){j->submitted_us}, c->now),
              g_hash_table_contains(m->images, j->spec->image) ? "" : ", without the image");
-    if (!fk_spec_long(c, j->spec)) {
-      b->wait_sum += fk_time_between(could_start_since(c, j), c->now);
-      b->wait_count++;
-    }
+    if (!fk_spec_long(c, j->spec))
+      count_wait(c, &b->waits, j);
     return TRUE;
   }
   return FALSE;
--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -11,8 +11,7 @@
   GHashTable *chunks; /* path -> FkChunk, owned by the transaction */
   GHashTable *teams;
   guint bytes;
-  double wait_sum;
-  guint64 wait_count;
+  FkWaits waits;
   guint booked;
 } FkBatch;
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -5,6 +5,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "rent/boot.h"
 #include "rent/hold.h"
 #include "teams/limits.h"
 
@@ -18,6 +19,7 @@
   FkTime since; /* rented, or first seen in the list */
   gboolean listed, failed, running;
   FkTime listed_at, running_since;
+  gboolean hired; /* by us, so that `since` is exact */
 } Booting;
 
 typedef struct {
@@ -48,7 +50,8 @@
   FkTime list_began;
   GHashTable *rates; /* class -> Rate */
   FkTime counted;    /* jobs seen before this are in the rates */
-  FkHold hold[2];    /* ordinary, spot: what came of giving idle machines back */
+  FkBoots boots;
+  FkHold hold[2]; /* ordinary, spot: what came of giving idle machines back */
 };
 
 typedef struct {
@@ -88,6 +91,7 @@
   f->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   f->returning = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   f->rates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rate_free);
+  fk_boots_init(&f->boots);
   fk_hold_init(&f->hold[FALSE], now);
   fk_hold_init(&f->hold[TRUE], now);
   return f;
@@ -234,6 +238,7 @@
         b->type = g_strdup(h->type);
         b->zone = g_strdup(h->zone);
         b->spot = h->spot;
+        b->hired = TRUE;
         b->since = c->now;
         g_hash_table_insert(f->booting, b->id, b);
       }
@@ -493,6 +498,15 @@
   }
 }
 
+#define RECKONED 0.3   /* chance to come within a boot time */
+#define GIVEN_UP 0.1   /* chance to come within two more */
+#define CHARGED_S 60.0 /* a machine costs so much at the least: going sooner saves nothing */
+#define BOOTS_MOST 4.0
+
+static double boot_age(FkController *c, const Booting *b, const FkType *t) {
+  return fk_time_between(b->since, c->now) / MAX(1, t->boot_s);
+}
+
 static void add_machines(FkController *c, Bins *bins) {
   FkFleet *f = c->fleet;
   GHashTableIter it;
@@ -521,10 +535,15 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     Booting *bt = p;
     FkType *t = g_hash_table_lookup(c->types, bt->type);
-    double age = fk_time_between(bt->since, c->now);
-    if (!t || bt->failed || g_hash_table_contains(f->returning, bt->id) || age > MAX(30, 2.5 * t->boot_s))
+    double age = t ? boot_age(c, bt, t) : 0;
+    /* Not to be reckoned with any more: something else is rented for what waits. Against a new one, which the
+     * plan takes to be up after a boot time: else those that are on their way would look later than any
+     * other. */
+    if (!t || bt->failed || g_hash_table_contains(f->returning, bt->id) ||
+        fk_boots_chance(&f->boots, age, 1) < RECKONED)
       continue;
-    bin_add(bins, BIN_COMING, t, bt->zone, bt->spot, 1, t->cpus, t->gpus, t->mem_gb, MAX(2, t->boot_s - age));
+    bin_add(bins, BIN_COMING, t, bt->zone, bt->spot, 1, t->cpus, t->gpus, t->mem_gb,
+            MAX(2, fk_boots_left(&f->boots, age) / fk_boots_left(&f->boots, 0) * t->boot_s));
   }
   for (guint i = 0; i < f->hires->len; i++) {
     Hire *h = f->hires->pdata[i];
@@ -687,6 +706,15 @@
   return fk_time_between(*(FkTime *)when, *(FkTime *)now) > GONE_KEPT_S;
 }
 
+static gboolean never_up(FkController *c, const Booting *b, const FkType *t) {
+  double s = fk_time_between(b->since, c->now);
+  if (s < CHARGED_S)
+    return FALSE;
+  return !t || boot_age(c, b, t) > BOOTS_MOST ||
+         fk_boots_chance(&c->fleet->boots, boot_age(c, b, t), 2) < GIVEN_UP ||
+         (b->running && fk_time_between(b->running_since, c->now) > 45);
+}
+
 static void return_some(FkController *c) {
   FkFleet *f = c->fleet;
   g_hash_table_foreach_remove(f->gone, long_gone, &c->now);
@@ -721,16 +749,19 @@
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     Booting *b = p;
     FkMachine *m = fk_view_machine(c->view, b->id);
+    FkType *t = g_hash_table_lookup(c->types, b->type);
     if ((m && m->rec) || g_hash_table_contains(f->gone, b->id)) {
+      if (t && m && m->rec && b->hired)
+        fk_boots_came(&f->boots, boot_age(c, b, t));
       g_hash_table_iter_remove(&it);
       continue;
     }
-    FkType *t = g_hash_table_lookup(c->types, b->type);
-    double age = fk_time_between(b->since, c->now);
-    gboolean late = age > MAX(60, 4 * (t ? t->boot_s : 60)) ||
-                    (b->running && fk_time_between(b->running_since, c->now) > 45);
-    if ((b->failed || late) && names->len < RETURN_MAX && !g_hash_table_contains(f->returning, b->id))
+    if ((b->failed || never_up(c, b, t)) && names->len < RETURN_MAX &&
+        !g_hash_table_contains(f->returning, b->id)) {
+      if (t && b->hired)
+        fk_boots_missed(&f->boots, boot_age(c, b, t));
       g_ptr_array_add(names, g_strdup(b->id));
+    }
   }
   if (!names->len)
     return;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -158,8 +158,7 @@
   /* windows */
   guint64 window;
   FkTime window_end;
-  double wait_sum;
-  guint64 wait_count;
+  FkWaits waits;
 
   /* leader */
   gboolean leader_pending;
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -51,15 +51,16 @@
 }
 
 static void size_window(FkController *c) {
-  double sum = 0;
-  guint64 count = 0;
+  FkWaits all = {0};
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->waits);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkWaits *w = p;
-    sum += w->sum_s;
-    count += w->count;
+    all.sum_s += w->sum_s;
+    all.count += w->count;
+    all.all_sum_s += w->all_sum_s;
+    all.all_count += w->all_count;
   }
   g_autoptr(GPtrArray) machines = g_ptr_array_new();
   double short_cpus = 0, long_cpus = 0;
@@ -79,16 +80,17 @@
     FkJob *j = p;
     *(fk_spec_long(c, j->spec) ? &long_cpus : &short_cpus) += fk_job_waiting(j) * j->spec->cpus;
   }
-  guint n = fk_sizing_window(&c->sizing, sum, count, c->settings->tuning.max_wait_s, c->settings->tuning.span,
-                             machines->len, short_cpus, long_cpus);
+  guint n = fk_sizing_window(&c->sizing, all.sum_s, all.count, c->settings->tuning.max_wait_s,
+                             c->settings->tuning.span, machines->len, short_cpus, long_cpus);
   unbar_all(c);
   g_ptr_array_sort(machines, least_long);
   for (guint i = 0; i < n && i < machines->len; i++)
     ((FkMachine *)machines->pdata[i])->barred = TRUE;
   g_info("window: %" G_GUINT64_FORMAT
-         " short starts, mean wait %.2f s, p %.3f, floor %u, barred above it %u, of %u "
-         "machines",
-         count, c->sizing.mean_wait_s, c->sizing.p, c->sizing.floor, c->sizing.barred, machines->len);
+         " short starts, mean wait %.2f s (all of them %.2f s, %" G_GUINT64_FORMAT
+         "), p %.3f, floor %u, barred above it %u, of %u machines",
+         all.count, c->sizing.mean_wait_s, all.all_count ? all.all_sum_s / (double)all.all_count : 0,
+         all.all_count, c->sizing.p, c->sizing.floor, c->sizing.barred, machines->len);
 }
 
 /* One line a window: what is up, and how much of it is booked. */
@@ -174,12 +176,11 @@
   c->window_end = fk_time_add(c->now, c->settings->tuning.window_s);
   c->window++;
   FkWaits *last = g_hash_table_lookup(c->view->waits, c->settings->node);
-  if (c->hold.n && (c->wait_count || (last && last->count))) {
+  if (c->hold.n && (c->waits.all_count || (last && last->all_count))) {
     FkOut *t = fk_txn_new(c, FK_PRIO_RESULT);
     FkRecord *r = fk_record_new(FK_KEY_WAITS);
-    r->window = c->window;
-    r->sum_s = c->wait_sum;
-    r->count = c->wait_count;
+    r->waits = c->waits;
+    r->waits.window = c->window;
     fk_txn_put(t, fk_key(FK_KEY_WAITS, c->settings->node), r, c->hold);
     fk_txn_send(c, t, waits_put, NULL, NULL);
   }
@@ -202,8 +203,7 @@
   memset(c->txn_writes, 0, sizeof c->txn_writes);
   log_cost(c);
   log_sizes(c);
-  c->wait_sum = 0;
-  c->wait_count = 0;
+  c->waits = (FkWaits){0};
   if (c->leading) {
     size_window(c);
     log_fleet(c);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -6,9 +6,7 @@
 #include <string.h>
 
 typedef struct {
-  double wait_sum;
-  guint64 wait_count;
-  guint writes;
+  FkWaits waits;
 } LaunchCall;
 
 static void launched(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
@@ -28,8 +26,10 @@
   else
     c->launch_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.15, 0.5));
   if (o == FK_OK) {
-    c->wait_sum += call->wait_sum;
-    c->wait_count += call->wait_count;
+    c->waits.sum_s += call->waits.sum_s;
+    c->waits.count += call->waits.count;
+    c->waits.all_sum_s += call->waits.all_sum_s;
+    c->waits.all_count += call->waits.all_count;
   }
 }
 
@@ -154,7 +154,7 @@
     return;
   }
   LaunchCall *call = g_new0(LaunchCall, 1);
-  *call = (LaunchCall){b.wait_sum, b.wait_count, b.txn->writes->len};
+  call->waits = b.waits;
   c->launching = TRUE;
   /* The leader places all services, so it may write like all the others together. */
   guint n = c->leading ? 2 : 1 + g_hash_table_size(c->view->nodes);
--- a/src/core/reclaim.c
+++ b/src/core/reclaim.c
@@ -1,7 +1,8 @@
 #include "core/stops.h"
 #include "core/turn.h"
 
-#define AFTER_S 15.0  /* somebody has waited for so long: tasks that end make room sooner than that, mostly  \
+#define AFTER_S                                                                                              \
+  15.0                /* somebody has waited for so long: tasks that end make room sooner than that, mostly  \
                        */
 #define LEAST 0.02    /* of the fleet's CPUs wait: for less, what was done is worth more */
 #define BEYOND 1.25   /* times what is due: so far above it, borrowed room is asked back */
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -892,7 +892,7 @@
   case FK_KEY_WAITS:
     if (r) {
       FkWaits *w = g_new0(FkWaits, 1);
-      *w = (FkWaits){r->window, r->sum_s, r->count};
+      *w = r->waits;
       g_hash_table_replace(v->waits, g_strdup(id), w);
     } else {
       g_hash_table_remove(v->waits, id);
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -51,6 +51,16 @@
 void fk_ends_free(gpointer e);
 void fk_machine_rec_free(gpointer m);
 
+/* A controller's short tasks' waits of one window: all of them, and with no job counting for more than a few.
+ */
+typedef struct {
+  guint64 window;
+  double sum_s;
+  guint64 count;
+  double all_sum_s;
+  guint64 all_count;
+} FkWaits;
+
 /* What goes under one key. Which members count depends on `kind`. */
 typedef struct {
   FkKeyKind kind;
@@ -63,9 +73,7 @@
   char *node, *life;  /* NODE, LEADER, GROUP: the home */
   FkPhase phase;      /* FINAL */
   guint32 tasks;      /* FINAL */
-  guint64 window;     /* WAITS */
-  double sum_s;       /* WAITS */
-  guint64 count;      /* WAITS, TEAM: bookings */
+  FkWaits waits;      /* WAITS */
 } FkRecord;
 
 FkRecord *fk_record_new(FkKeyKind kind);
@@ -107,6 +115,8 @@
   gboolean faulted;       /* a task of it has failed */
   gboolean doubted;       /* it seems to fail everywhere: one task at a time */
   FkTime tried;           /* ... and the look that it went into */
+  guint64 waits_window;   /* of its waits so many were counted in this window */
+  guint waits_counted;
   FkAttempt gang_attempt; /* the number of the launch under way */
   guint32 gang_booked;    /* tasks that it has booked so far */
   FkTime preempted;       /* room for it was asked for lately */
@@ -202,12 +212,6 @@
   GHashTable *split; /* controller -> double*: its share of the limit; NULL: shared */
 } FkTeamUse;
 
-typedef struct {
-  guint64 window;
-  double sum_s;
-  guint64 count;
-} FkWaits;
-
 typedef struct FkView FkView;
 struct FkView {
   const FkSettings *settings;
--- a/src/main.c
+++ b/src/main.c
@@ -8,6 +8,7 @@
 #include "io/rexec.h"
 #include "io/shell.h"
 #include "keys/keys.h"
+#include "teams/limits.h"
 #include "wire/settings.h"
 
 #define OPERATOR_ENV "FLAXKNOT_OPERATOR"
@@ -76,6 +77,27 @@
   return 0;
 }
 
+static void tell_amount(const char *what, double guarantee, double most) {
+  printf("  %s: ", what);
+  if (guarantee > 0)
+    printf("%g guaranteed, ", guarantee);
+  if (fk_limited(most))
+    printf("%g at most", most);
+  else
+    printf("no limit");
+  printf(" (%s)\n", fk_team_kind_name(fk_team_kind(guarantee, most)));
+}
+
+/* How the zeros of the platform's file were read. */
+static void tell_teams(const FkSettings *settings) {
+  for (guint i = 0; i < settings->teams->len; i++) {
+    const FkTeam *t = settings->teams->pdata[i];
+    printf("team %s\n", t->name);
+    tell_amount("CPUs", t->cpus, t->cpus_max);
+    tell_amount("GPUs", t->gpus, t->gpus_max);
+  }
+}
+
 int main(int argc, char **argv) {
   g_autofree char *config = NULL, *operator_file = NULL, *rexec_file = NULL;
   gboolean version = FALSE;
@@ -127,6 +149,7 @@
   }
   if (check) {
     printf("the settings of %s are in order\n", settings->node);
+    tell_teams(settings);
     return 0;
   }
   FkShell *shell = fk_shell_new(settings, &error);
--- a/src/teams/limits.c
+++ b/src/teams/limits.c
@@ -23,7 +23,8 @@
 }
 
 const char *fk_team_kind_name(FkTeamKind kind) {
-  static const char *const names[] = {"guaranteed, and limited", "a guest: no guarantee and no limit",
+  static const char *const names[] = {"guaranteed, and limited",
+                                      "no guarantee, no limit: room that nobody has a claim to",
                                       "guaranteed, without a limit", "limited, without a guarantee",
                                       "limited below its guarantee: the limit holds"};
   return names[kind];
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -296,9 +296,11 @@
     cJSON_AddNumberToObject(o, "phase", r->phase);
     cJSON_AddNumberToObject(o, "tasks", r->tasks);
   } else if (r->kind == FK_KEY_WAITS) {
-    fk_json_add_u64(o, "window", r->window);
-    cJSON_AddNumberToObject(o, "sum", r->sum_s);
-    fk_json_add_u64(o, "count", r->count);
+    fk_json_add_u64(o, "window", r->waits.window);
+    cJSON_AddNumberToObject(o, "sum", r->waits.sum_s);
+    fk_json_add_u64(o, "count", r->waits.count);
+    cJSON_AddNumberToObject(o, "all_sum", r->waits.all_sum_s);
+    fk_json_add_u64(o, "all_count", r->waits.all_count);
   }
   return o;
 }
@@ -335,9 +337,12 @@
     r->tasks = fk_json_u64(o, "tasks", &n) ? (guint32)n : 0;
     break;
   case FK_KEY_WAITS:
-    fk_json_u64(o, "window", &r->window);
-    r->sum_s = fk_json_num_or(o, "sum", 0);
-    fk_json_u64(o, "count", &r->count);
+    fk_json_u64(o, "window", &r->waits.window);
+    r->waits.sum_s = fk_json_num_or(o, "sum", 0);
+    fk_json_u64(o, "count", &r->waits.count);
+    r->waits.all_sum_s = fk_json_num_or(o, "all_sum", r->waits.sum_s);
+    if (!fk_json_u64(o, "all_count", &r->waits.all_count))
+      r->waits.all_count = r->waits.count;
     break;
   case FK_KEY_NODE:
   case FK_KEY_LEADER:
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -262,7 +262,8 @@
          gsl_stats_quantile_from_sorted_data(took, 1, n, 0.99), took[n - 1], all / n, all / n / alone_s);
   check(answered == n, "all were answered");
   check(again == 0, "none had to knock twice (TCP sent nothing again)");
-  check(all / n <= 5 * alone_s, "together they took no longer than five times what they take one after the other");
+  check(all / n <= 5 * alone_s,
+        "together they took no longer than five times what they take one after the other");
   return all / n;
 }
 
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/turn.h"
 #include "io/budget.h"
 #include "wire/settings.h"
 #include "wire/store.h"
@@ -712,6 +713,71 @@
     g_log_default_handler(domain, level, text, data);
 }
 
+/* A small task of a low rank leaves a machine's room to an array whose turn it is, unless that can't run
+ * there, seems to fail everywhere, or has only just come (docs/incidents/, "Small tasks in every gap"). */
+static void test_yields(void) {
+  static const struct {
+    const char *what;
+    double waited_s;
+    const char *type; /* that the array needs; NULL: any */
+    gboolean doubted, yields;
+  } cases[] = {{"an array waits", 3, NULL, FALSE, TRUE},
+               {"just come", 0.1, NULL, FALSE, FALSE},
+               {"it can't run there", 3, "box64", FALSE, FALSE},
+               {"it fails everywhere", 3, NULL, TRUE, FALSE}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(TRUE);
+    g_autoptr(GString) low = g_string_new(SPEC), first = g_string_new(SPEC);
+    g_string_replace(low, "\"rank\":2", "\"rank\":3", 0);
+    if (cases[i].type)
+      g_string_replace(first, "\"spot\"", "\"types\":[\"box64\"],\"spot\"", 0);
+    g_test_message("%s", cases[i].what);
+    watched(r, (const char *const[]){"fk/l/j/run-low", low->str, "fk/l/j/run-first", first->str, NULL});
+    FkView *v = fk_controller_view(r->c);
+    FkJob *one = fk_view_job(v, "run-1");
+    one->cancelled = TRUE; /* not in the way */
+    r->c->now = fk_time_add(r->now, cases[i].waited_s);
+    fk_view_job(v, "run-first")->doubted = cases[i].doubted;
+    g_autoptr(GPtrArray) jobs = fk_turn_waiting(r->c);
+    const FkMachine *m = fk_view_machine(v, "i-1");
+    g_assert_cmpuint(jobs->len, ==, 2);
+    g_assert_cmpint(fk_turn_yields(r->c, fk_view_job(v, "run-low"), m), ==, cases[i].yields);
+    g_assert_false(fk_turn_yields(r->c, fk_view_job(v, "run-first"), m));
+    rig_free(r);
+  }
+}
+
+/* The page that settles the most is written first, whatever the order of the tables; what waits gains. */
+static void test_roster_order(void) {
+  Rig *r = rig_new(TRUE);
+  const guint groups = 8;
+  for (guint g = 1; g <= groups; g++) {
+    g_autofree char *key = g_strdup_printf("fk/l/m/north.%u", 100 + g);
+    g_autoptr(GString) page = g_string_new("{\"zone\":\"north\",\"m\":[");
+    for (guint k = 0; k < g; k++)
+      g_string_append_printf(page, "%s[\"g%u-%u\",\"box8\",\"127.0.0.1:9\",0]", k ? "," : "", g, k);
+    g_string_append(page, "]}");
+    watched(r, (const char *const[]){key, page->str, NULL});
+  }
+  for (guint g = 1; g <= groups; g++)
+    for (guint k = 0; k < g; k++) {
+      g_autofree char *id = g_strdup_printf("g%u-%u", g, k);
+      fk_roster_mark(r->c, fk_view_machine(fk_controller_view(r->c), id), FK_MARK_IDLE, -1);
+    }
+  fk_controller_room(r->c, 3);
+  g_ptr_array_set_size(r->outs, 0);
+  fk_roster_tick(r->c);
+  pump(r);
+  const FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/m/");
+  g_assert_nonnull(t);
+  g_assert_cmpuint(t->writes->len, ==, 3);
+  for (guint i = 0; i < 3; i++) {
+    g_autofree char *key = g_strdup_printf("fk/l/m/north.%u", 100 + groups - i);
+    g_assert_cmpstr(g_array_index(t->writes, FkWrite, i).path, ==, key);
+  }
+  rig_free(r);
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_log_set_default_handler(quiet, NULL);
@@ -731,6 +797,8 @@
   g_test_add_func("/core/orphans", test_orphans);
   g_test_add_func("/core/work", test_work);
   g_test_add_func("/core/split", test_split);
+  g_test_add_func("/core/yields", test_yields);
+  g_test_add_func("/core/roster_order", test_roster_order);
   g_test_add_func("/core/budget", test_budget);
   return g_test_run();
 }
--- a/test/test_teams.c
+++ b/test/test_teams.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "blame/blame.h"
+#include "rent/boot.h"
 #include "rent/hold.h"
 #include "teams/limits.h"
 #include "teams/served.h"
@@ -305,6 +306,44 @@
   fk_hold_clear(&h);
 }
 
+static void test_boots(void) {
+  FkBoots b;
+  fk_boots_init(&b);
+  /* before anything is seen: a new one is as good as sure, one that is long overdue isn't */
+  g_assert_cmpfloat(fk_boots_chance(&b, 0, 1.5), >, 0.8);
+  g_assert_cmpfloat(fk_boots_chance(&b, 2.75, 1), <, 0.3);
+  g_assert_cmpfloat_with_epsilon(fk_boots_left(&b, 0), 1.25, 0.35);
+  g_assert_cmpfloat(fk_boots_left(&b, 1.2), <, fk_boots_left(&b, 0));
+  /* machines come three times as late: one of twice the age is still awaited, and for how long is known */
+  FkBoots late = b;
+  for (guint i = 0; i < 200; i++)
+    fk_boots_came(&late, 3);
+  g_assert_cmpfloat(fk_boots_chance(&late, 2, 1), >, fk_boots_chance(&b, 2, 1));
+  g_assert_cmpfloat(fk_boots_left(&late, 1), >, 1.5);
+  /* many never come: one that is late is hardly reckoned with */
+  FkBoots never = b;
+  for (guint i = 0; i < 200; i++) {
+    fk_boots_missed(&never, 3);
+    fk_boots_came(&never, 0.8);
+  }
+  g_assert_cmpfloat(fk_boots_chance(&never, 1.6, 1), <, 0.25);
+  g_assert_cmpfloat(fk_boots_chance(&never, 0, 1), >, 0.4);
+  /* chances are chances, at any age, after any history */
+  GRand *rand = g_rand_new_with_seed(3);
+  for (guint i = 0; i < 2000; i++) {
+    double age = g_rand_double_range(rand, 0, 20);
+    if (g_rand_boolean(rand))
+      fk_boots_came(&b, g_rand_double_range(rand, 0, 8));
+    else
+      fk_boots_missed(&b, g_rand_double_range(rand, 0, 8));
+    double chance = fk_boots_chance(&b, age, g_rand_double_range(rand, 0, 5));
+    g_assert_true(chance >= 0 && chance <= 1 + 1e-9);
+    g_assert_cmpfloat(fk_boots_left(&b, age), >, 0);
+    g_assert_cmpfloat(fk_boots_chance(&b, age, 5), >=, fk_boots_chance(&b, age, 1) - 1e-9);
+  }
+  g_rand_free(rand);
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/teams/limits", test_limits);
@@ -313,6 +352,7 @@
   g_test_add_func("/teams/served", test_served);
   g_test_add_func("/teams/served_bounded", test_served_bounded);
   g_test_add_func("/rent/hold", test_hold);
+  g_test_add_func("/rent/boots", test_boots);
   g_test_add_func("/blame/verdicts", test_blame);
   g_test_add_func("/blame/pauses", test_blame_pauses);
   return g_test_run();
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -204,6 +204,35 @@
   }
 }
 
+/* Why an attempt ended without a result goes beside the release itself, which versions that don't know it
+ * read. */
+static void test_failed_ends(void) {
+  static const struct {
+    const char *json;
+    guint released, failed;
+    gboolean good;
+  } cases[] = {{"{\"run-1/0\":{\"r\":[0,1,3,7],\"f\":[7]}}", 2, 1, TRUE},
+               {"{\"run-1/0\":{\"r\":[0,1,3,7]}}", 2, 0, TRUE},
+               {"{\"run-1/0\":{\"r\":[0,1],\"f\":[9]}}", 1, 0, TRUE},
+               {"{\"run-1/0\":{\"r\":[0,1],\"f\":[\"x\"]}}", 0, 0, FALSE}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    g_autoptr(cJSON) j = fk_json_parse(cases[i].json, strlen(cases[i].json));
+    g_autoptr(FkRecord) r = fk_store_record_from_json("fk/l/r/c-0/0", j);
+    g_assert_cmpint(r != NULL, ==, cases[i].good);
+    for (guint again = 0; r && again < 2; again++) {
+      const FkEnds *e = r->ends->pdata[0];
+      guint failed = 0;
+      for (guint k = 0; k < e->released->len; k++)
+        failed += g_array_index(e->released, FkTry, k).failed != 0;
+      g_assert_cmpuint(e->released->len, ==, cases[i].released);
+      g_assert_cmpuint(failed, ==, cases[i].failed);
+      g_autoptr(cJSON) back = fk_store_record_to_json(r);
+      fk_record_free(r);
+      r = fk_store_record_from_json("fk/l/r/c-0/0", back);
+    }
+  }
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/wire/submission", test_submission);
@@ -212,5 +241,6 @@
   g_test_add_func("/wire/chunk", test_chunk_record);
   g_test_add_func("/wire/schema", test_schema);
   g_test_add_func("/wire/settings", test_settings);
+  g_test_add_func("/wire/failed_ends", test_failed_ends);
   return g_test_run();
 }
