--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -28,6 +28,7 @@
   FkController *core; /* NULL: down */
   guint gen, starts;
   gint64 cut_state, cut_workers; /* until */
+  gint64 frozen;                 /* it stands still until then; what is sent to it waits */
 } Ctl;
 
 typedef struct {
@@ -349,7 +350,18 @@
   drain(m, c->ctl);
 }
 
-static void give_up(Sim *m, gpointer p) { deliver(p, FK_UNKNOWN, (FkRev){0}, NULL, FALSE, NULL); }
+/* What would reach a frozen controller reaches it when it goes on. Whether it is so. */
+static gboolean waits_for_frozen(Sim *m, int ctl, void (*fn)(Sim *, gpointer), gpointer data) {
+  if (m->now >= m->ctl[ctl].frozen)
+    return FALSE;
+  after(m, (double)(m->ctl[ctl].frozen - m->now) / 1e6 + 0.01, fn, data);
+  return TRUE;
+}
+
+static void give_up(Sim *m, gpointer p) {
+  if (!waits_for_frozen(m, ((Call *)p)->ctl, give_up, p))
+    deliver(p, FK_UNKNOWN, (FkRev){0}, NULL, FALSE, NULL);
+}
 
 typedef struct {
   Call *call;
@@ -362,6 +374,8 @@
 
 static void answer_arrives(Sim *m, gpointer p) {
   Answer *a = p;
+  if (waits_for_frozen(m, a->call->ctl, answer_arrives, a))
+    return;
   deliver(a->call, a->o, a->epoch, a->list, a->more, a->report);
   g_free(a);
 }
@@ -768,6 +782,8 @@
 static void report_arrives(Sim *m, gpointer p) {
   Hello *h = p;
   Ctl *c = &m->ctl[h->ctl];
+  if (waits_for_frozen(m, h->ctl, report_arrives, h))
+    return;
   if (c->core && c->gen == h->gen) {
     guint64 id = ++m->next_req;
     g_hash_table_insert(m->requests, g_memdup2(&id, sizeof id), h->req);
@@ -977,7 +993,7 @@
 static void ask(Sim *m, UJob *j, int kind) {
   int i = g_rand_int_range(m->rand, 0, m->n);
   Ctl *c = &m->ctl[i];
-  if (!c->core || apart(m, ctl_zone(i), NULL))
+  if (!c->core || apart(m, ctl_zone(i), NULL) || m->now < c->frozen)
     return;
   guint64 id = ++m->next_req;
   Req *r = g_new0(Req, 1);
@@ -1115,9 +1131,10 @@
 }
 
 /* A guest's work: none of it has a claim to room, and all of it is to be served. */
-static void guest_job(Sim *m, const char *class_name, guint32 tasks, double cpus, double run_s) {
+static void guest_job(Sim *m, const char *team, const char *class_name, guint32 tasks, double cpus,
+                      double run_s) {
   UJob *j = new_job(m);
-  j->team = g_strdup("guest");
+  j->team = g_strdup(team);
   j->class_name = class_name;
   j->rank = FK_RANK_LOW;
   j->shape = FK_SHAPE_ARRAY;
@@ -1132,11 +1149,15 @@
 static void guests_come(Sim *m, gpointer p) {
   guint round = GPOINTER_TO_UINT(p);
   if (!round)
-    guest_job(m, "long", 60, 2, 40);
+    guest_job(m, "guest", "long", 60, 2, 40);
+  if (round == 5) {
+    guest_job(m, "unlimited", "free", 30, 2, 10);
+    guest_job(m, "borrower", "bound", 30, 2, 10);
+  }
   if (round == 10)
-    guest_job(m, "huge", 400, 0.25, 2);
+    guest_job(m, "guest", "huge", 400, 0.25, 2);
   if (round >= 20 && round < 60)
-    guest_job(m, "tiny", 1, 0.25, 10);
+    guest_job(m, "guest", "tiny", 1, 0.25, 10);
   if (round < 60)
     after(m, 1, guests_come, GUINT_TO_POINTER(round + 1));
 }
@@ -1150,7 +1171,7 @@
   FkRev seen, applied;
   double age_s;
   if (!alive(c) || !m->ctl[to].core || apart(m, ctl_zone(c->ctl), ctl_zone(to)) || chance(m, m->plan.lost) ||
-      m->now < m->peers_refuse_until)
+      m->now < m->peers_refuse_until || m->now < m->ctl[to].frozen || m->now < m->ctl[c->ctl].frozen)
     return;
   const char *life = fk_controller_seen(m->ctl[to].core, ctl_now(m, to), &seen, &applied, &age_s);
   c->answered = TRUE;
@@ -1250,13 +1271,14 @@
     return;
   fk_controller_free(c->core);
   c->core = NULL;
+  c->frozen = 0;
   c->gen++;
   after(m, 3, start, GINT_TO_POINTER(i));
 }
 
 static void tick(Sim *m, gpointer p) {
   int i = GPOINTER_TO_INT(p);
-  if (m->ctl[i].core) {
+  if (m->ctl[i].core && m->now >= m->ctl[i].frozen) {
     gint64 began = core_begins(m);
     fk_controller_tick(m->ctl[i].core, ctl_now(m, i), m->now + 5000000);
     core_ends(m, began);
@@ -1339,6 +1361,11 @@
     else
       mass_loss(m);
   }
+  if (m->plan.freezes && m->now < (gint64)(m->plan.seconds * 0.6e6) && chance(m, 0.3)) {
+    int i = g_rand_int_range(m->rand, 0, m->n);
+    m->ctl[i].frozen = m->now + (gint64)(between(m, 5, 60) * 1e6);
+    g_debug("WORLD %.3f c-%d stands still until %.3f", m->now / 1e6, i, m->ctl[i].frozen / 1e6);
+  }
   if (m->now < (gint64)(m->plan.seconds * 0.6e6)) {
     int i = g_rand_int_range(m->rand, 0, m->n);
     switch (g_rand_int_range(m->rand, 0, m->plan.more ? 10 : 7)) {
@@ -1397,7 +1424,7 @@
 
 /* As the service's users see it: tasks that ran to their end, or replicas that were started. */
 static guint worst_class(Sim *m) {
-  static const char *const names[] = {"live", "arrays", "long", "huge", "tiny"};
+  static const char *const names[] = {"live", "arrays", "long", "huge", "tiny", "free", "bound"};
   double worst = 1;
   for (guint k = 0; k < G_N_ELEMENTS(names); k++) {
     double due = 0, served = 0;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -21,8 +21,10 @@
   gboolean more;     /* a slow store, one controller alone refused, controllers that refuse each other */
   double stillborn;  /* chance that a rented machine never comes up */
   double faulty;     /* chance that a job fails on every machine, until its user cancels it after a while */
-  gboolean guests; /* a team without guarantee or limit comes with one huge array, long tasks and tiny jobs */
-  gboolean clocks; /* the steady clocks are off by all that PROTOCOL allows, in turn */
+  gboolean freezes;  /* controllers stand still for 5 to 60 s while their clocks run */
+  gboolean guests;   /* a team without guarantee or limit comes with one huge array, long tasks and tiny jobs,
+                        one with   a guarantee alone and one with a limit alone with an array each */
+  gboolean clocks;   /* the steady clocks are off by all that PROTOCOL allows, in turn */
   /* The growth experiment: nothing but so many services of one task, all up when a share of the machines is
    * lost at once. */
   guint services;
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -124,6 +124,7 @@
       .outages = TRUE,
       .masses = TRUE,
       .deaths = TRUE,
+      .freezes = TRUE,
       .late = 0.02},
      .served = 50},
     /* jobs that fail on every machine, a few, a tenth, half of them: their machines are healthy, and the
@@ -147,6 +148,9 @@
      .served = 50,
      .healthy_returned = 4},
     {"faulty_sick", 6, FALSE, {DAY, .faulty = 0.2, .deaths = TRUE, .kills = TRUE, .up = 10, .scale = 2}},
+    /* controllers that stand still for 5 to 60 s while their clocks run, alone and with all else */
+    {"freezes", 16, FALSE, {DAY, .freezes = TRUE, .late = 0.02, .scale = 2}},
+    {"freezes_all", 16, FALSE, {ALL_OF(300), .freezes = TRUE, .machines = 20, .up = 12, .scale = 2, FIVE}},
     /* wrong_place: a gang's launch went on after a member had left, with the same attempt number */
     {"gangs", 0, FALSE, ALL, 78},
     /* ran_twice: a home cut off from the store released by lease, its release came through late, another
@@ -162,9 +166,16 @@
     ((FkTeam *)s->teams->pdata[i])->cpus_max *= c->limits;
   }
   if (c->plan.guests) {
-    FkTeam *guest = g_new0(FkTeam, 1);
-    *guest = (FkTeam){g_strdup("guest"), 0, fk_limit_of(0), 0, fk_limit_of(0)};
-    g_ptr_array_add(s->teams, guest);
+    static const struct {
+      const char *name;
+      double guarantee, limit;
+    } kinds[] = {{"guest", 0, 0}, {"unlimited", 8, 0}, {"borrower", 0, 8}};
+    for (guint i = 0; i < G_N_ELEMENTS(kinds); i++) {
+      FkTeam *t = g_new0(FkTeam, 1);
+      *t = (FkTeam){g_strdup(kinds[i].name), kinds[i].guarantee, fk_limit_of(kinds[i].limit), 0,
+                    fk_limit_of(0)};
+      g_ptr_array_add(s->teams, t);
+    }
   }
   const char *more = g_getenv("FK_SIM_SEEDS"); /* more schedules than CI's, by hand */
   guint64 seeds = more ? g_ascii_strtoull(more, NULL, 10) : c->seeds;
