Boots: late ones are expected up to four boot times, so that who comes late is learnt

Cause, found on reading: by the first form a machine of 2.75 boot times was given up, so machines that all come at three could never be learnt, and would be rented and given up again and again. Change: a tenth of the prior lies between two and 3.7 boot times; no machine is given up before that without evidence.

--- a/src/rent/boot.c
+++ b/src/rent/boot.c
@@ -5,6 +5,7 @@
 #define BIN 0.25   /* boot times; the last bin has all that came later */
 #define FADE 0.995 /* with each machine: the last few hundred count */
 #define PRIOR 20.0 /* machines' worth of what the cloud's description promises */
+#define PRIOR_LATE 0.1
 #define PRIOR_NEVER 0.02
 
 static guint bin_of(double ratio) { return (guint)CLAMP(floor(ratio / BIN), 0, FK_BOOT_BINS - 1); }
@@ -23,10 +24,13 @@
 
 void fk_boots_init(FkBoots *b) {
   *b = (FkBoots){0};
-  /* 0.6 to 1.5 boot times, some several, a few never */
-  static const double at[] = {0.7, 0.8, 0.9, 1.0, 1.1, 1.2, 1.3, 1.4, 1.4, 2.5};
-  for (guint i = 0; i < G_N_ELEMENTS(at); i++)
-    learn(b, at[i], TRUE, PRIOR * (1 - PRIOR_NEVER) / G_N_ELEMENTS(at));
+  /* 0.6 to 1.5 boot times, some several, a few never. Were none expected so late, who comes three times as
+   * late would always be given up before, and that it comes would never be learnt. */
+  static const double usual[] = {0.7, 0.8, 0.9, 1.0, 1.1, 1.2, 1.3, 1.4}, late[] = {2.0, 2.5, 3.0, 3.7};
+  for (guint i = 0; i < G_N_ELEMENTS(usual); i++)
+    learn(b, usual[i], TRUE, PRIOR * (1 - PRIOR_LATE - PRIOR_NEVER) / G_N_ELEMENTS(usual));
+  for (guint i = 0; i < G_N_ELEMENTS(late); i++)
+    learn(b, late[i], TRUE, PRIOR * PRIOR_LATE / G_N_ELEMENTS(late));
   learn(b, FK_BOOT_BINS * BIN, FALSE, PRIOR * PRIOR_NEVER);
 }
 
