--- a/test/test_core.c
+++ b/test/test_core.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/stops.h"
 #include "core/turn.h"
 #include "io/budget.h"
 #include "wire/settings.h"
@@ -747,6 +748,64 @@
   }
 }
 
+/* Borrowed room is asked back for who has waited long enough and has the better claim, no more of it than
+ * that wants, the latest tasks first, by one write. */
+static void test_reclaim(void) {
+  static const struct {
+    const char *what, *team;
+    int rank;
+    double waited_s;
+    guint stops;
+  } cases[] = {{"a lower rank", "blue", 3, 20, 4},
+               {"not so soon", "blue", 3, 10, 0},
+               {"the same rank, for who is within its guarantee", "blue", 2, 20, 4},
+               {"a higher one, too: it is above its own guarantee", "blue", 1, 20, 4},
+               {"never the team's own", "red", 3, 20, 0}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(TRUE);
+    g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+    g_autofree char *page = group_key("m"), *members = page_of("north", "i", 50, ids);
+    g_autoptr(GString) spec = g_string_new(SPEC),
+                       chunk = g_string_new("{\"f\":0,\"n\":100,\"a\":101,\"b\":[");
+    g_autofree char *rank = g_strdup_printf("\"rank\":%d", cases[i].rank);
+    g_autofree char *team = g_strdup_printf("\"team\":\"%s\"", cases[i].team);
+    g_string_replace(spec, "\"rank\":2", rank, 0);
+    g_string_replace(spec, "\"team\":\"red\"", team, 0);
+    g_string_replace(spec, "\"tasks\":4", "\"tasks\":100", 0);
+    g_string_replace(spec, "\"chunk\":16", "\"chunk\":128", 0);
+    g_string_replace(spec, "\"class\":\"c\"", "\"class\":\"low\"", 0);
+    for (guint k = 0; k < 100; k++)
+      g_string_append_printf(chunk, "%s[%u,%u,\"%s\",\"c-0\"]", k ? "," : "", k, k + 1,
+                             (char *)ids->pdata[k % 50]);
+    g_string_append(chunk, "]}");
+    g_test_message("%s", cases[i].what);
+    watched(r, (const char *const[]){page, members, "fk/l/j/run-many", spec->str, "fk/l/t/run-many/00000",
+                                     chunk->str, "fk/l/j/run-first", SPEC, NULL});
+    fk_view_job(fk_controller_view(r->c), "run-1")->cancelled = TRUE; /* not in the way */
+    r->c->now = fk_time_add(r->now, cases[i].waited_s);
+    fk_serving_tick(r->c);
+    g_autoptr(GPtrArray) jobs = fk_turn_waiting(r->c);
+    FkStops s = {0};
+    fk_reclaim(r->c, &s);
+    guint stopped = 0, last = 0;
+    for (guint w = 0; s.txn && w < s.txn->writes->len; w++) {
+      const FkChunk *ch = g_array_index(s.txn->writes, FkWrite, w).record->chunk;
+      for (guint k = 0; k < ch->bookings->len; k++)
+        if (g_array_index(ch->bookings, FkBooking, k).stop) {
+          stopped++;
+          last = g_array_index(ch->bookings, FkBooking, k).task;
+        }
+    }
+    g_assert_cmpuint(stopped, ==, cases[i].stops);
+    g_assert_cmpuint(s.txn ? s.txn->writes->len : 0, ==, stopped ? 1 : 0);
+    if (stopped)
+      g_assert_cmpuint(last, ==, 99);
+    g_clear_pointer(&s.chunks, g_hash_table_unref);
+    g_clear_pointer(&s.txn, fk_out_free);
+    rig_free(r);
+  }
+}
+
 /* The page that settles the most is written first, whatever the order of the tables; what waits gains. */
 static void test_roster_order(void) {
   Rig *r = rig_new(TRUE);
@@ -799,6 +858,7 @@
   g_test_add_func("/core/split", test_split);
   g_test_add_func("/core/yields", test_yields);
   g_test_add_func("/core/roster_order", test_roster_order);
+  g_test_add_func("/core/reclaim", test_reclaim);
   g_test_add_func("/core/budget", test_budget);
   return g_test_run();
 }
