--- a/src/blame/blame.h
+++ b/src/blame/blame.h
@@ -31,8 +31,8 @@
 double fk_blame_pause_s(const FkBlame *b, const char *job);
 /* The job failed there lately: elsewhere its next try tells more. */
 gboolean fk_blame_avoids(const FkBlame *b, const char *job, const char *machine, FkTime now);
-/* Three failures there in a row that their jobs can't be blamed for; those of jobs that have worked nowhere yet
- * count half. */
+/* Three failures there in a row that their jobs can't be blamed for; those of jobs that have worked nowhere
+ * yet count half. */
 gboolean fk_blame_sick(const FkBlame *b, const char *machine);
 
 /* Entries held, for the log. */
