Read again: a team's own work isn't reclaimed for it; one loss, one floor, one sum of waits

Cause, found on reading: reclaim compared the teams' names by pointer, which are never the same, so the check that keeps a team's own work from being stopped for it did nothing; its test case passed because the team's limit was used up. Change: names are compared as strings; the case now has room within its limit, and fails with the old comparison (10 tasks stopped instead of none). Without change of behaviour: what stopping a task loses is displace.c's alone, the floor of a class one constant, sums of waits one function; blame's tables are told with the others that grow.

--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -38,6 +38,8 @@
 gboolean fk_leaves_reserve(FkController *c, FkMachine *m, const FkSpec *s, double *spare);
 
 /* displace.c: room made by stopping tasks of lower ranks */
+/* What stopping a task that has run since then loses, in core-seconds. */
+double fk_work_lost(FkController *c, const FkSpec *s, FkTime since);
 /* The work that would be lost, in core-seconds; < 0: there is no room to be made. `at_once`: only by tasks
  * that end as soon as they are told. Who would be stopped goes into `victims` (FkBookRef). */
 double fk_displace_cost(FkController *c, const FkSpec *s, const FkMachine *m, gboolean at_once,
--- a/src/core/displace.c
+++ b/src/core/displace.c
@@ -20,10 +20,14 @@
   return FALSE;
 }
 
-/* What stopping it would lose, in core-seconds. */
+double fk_work_lost(FkController *c, const FkSpec *s, FkTime since) {
+  double ran = fk_time_between(since, c->now);
+  return (s->checkpoint_s > 0 ? MIN(ran, s->checkpoint_s) : ran) * s->cpus;
+}
+
+/* What stopping it would cost, in core-seconds. */
 static double loss(FkController *c, const FkBookRef *b) {
-  double ran = fk_time_between(b->since, c->now), every = b->job->spec->checkpoint_s;
-  return (every > 0 ? MIN(ran, every) : ran) * b->job->spec->cpus + (fk_job_waiting(b->job) ? BUSY_COST : 0);
+  return fk_work_lost(c, b->job->spec, b->since) + (fk_job_waiting(b->job) ? BUSY_COST : 0);
 }
 
 double fk_displace_cost(FkController *c, const FkSpec *s, const FkMachine *m, gboolean at_once,
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -61,6 +61,8 @@
 typedef struct FkTurn FkTurn;
 
 #define FK_EPS 1e-6     /* amounts are sums of fractions */
+#define FK_FLOOR 0.05   /* of the fleet's CPUs: what a class that is hardly served is lifted up to, and left \
+                         */
 #define FK_DRIFT 0.0012 /* two clocks, each off by 0.05%, and a little */
 #define FK_MARGIN_S 2.0
 
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -55,13 +55,8 @@
   GHashTableIter it;
   gpointer p;
   g_hash_table_iter_init(&it, c->view->waits);
-  while (g_hash_table_iter_next(&it, NULL, &p)) {
-    FkWaits *w = p;
-    all.sum_s += w->sum_s;
-    all.count += w->count;
-    all.all_sum_s += w->all_sum_s;
-    all.all_count += w->all_count;
-  }
+  while (g_hash_table_iter_next(&it, NULL, &p))
+    fk_waits_add(&all, p);
   g_autoptr(GPtrArray) machines = g_ptr_array_new();
   double short_cpus = 0, long_cpus = 0;
   g_hash_table_iter_init(&it, c->view->machines);
@@ -161,10 +156,11 @@
   }
   g_info(
       "sizes: %u jobs, %u machines (%u ours), %u bookings, %u finals, %u chunks with ends, %u ends to write, "
-      "%u probes, %u reports held, %u redirects, %u calls",
+      "%u probes, %u reports held, %u redirects, %u calls, %u jobs and %u machines with failures",
       g_hash_table_size(v->jobs), g_hash_table_size(v->machines), homes, books, g_hash_table_size(v->finals),
       g_hash_table_size(v->ends), g_hash_table_size(c->ended), probes, c->held->length,
-      g_hash_table_size(c->redirects), g_hash_table_size(c->commits) + g_hash_table_size(c->gets));
+      g_hash_table_size(c->redirects), g_hash_table_size(c->commits) + g_hash_table_size(c->gets),
+      fk_blame_jobs(v->blame), fk_blame_machines(v->blame));
 }
 
 static void waits_put(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -25,12 +25,8 @@
     c->launch_wait = epoch; /* what comes next is decided on a view that shows this */
   else
     c->launch_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.15, 0.5));
-  if (o == FK_OK) {
-    c->waits.sum_s += call->waits.sum_s;
-    c->waits.count += call->waits.count;
-    c->waits.all_sum_s += call->waits.all_sum_s;
-    c->waits.all_count += call->waits.all_count;
-  }
+  if (o == FK_OK)
+    fk_waits_add(&c->waits, &call->waits);
 }
 
 GPtrArray *fk_usable_machines(FkController *c) {
--- a/src/core/reclaim.c
+++ b/src/core/reclaim.c
@@ -1,14 +1,12 @@
+#include "core/batch.h"
 #include "core/stops.h"
 #include "core/turn.h"
 
-#define AFTER_S                                                                                              \
-  15.0                /* somebody has waited for so long: tasks that end make room sooner than that, mostly  \
-                       */
+#define AFTER_S 15.0  /* the first has waited for so long: tasks that end mostly make room sooner */
 #define LEAST 0.02    /* of the fleet's CPUs wait: for less, what was done is worth more */
 #define BEYOND 1.25   /* times what is due: so far above it, borrowed room is asked back */
 #define EVERY_S 4.0   /* what was asked to leave has left by then, and shows */
 #define AT_ONCE 0.05  /* of the fleet's CPUs */
-#define FLOOR 0.05    /* ... that a class keeps, whatever its rank */
 #define CHUNKS_MOST 6 /* a round: each is a write */
 
 /* A chunk's tasks stop by one write, and were mostly placed together: so chunks are asked for, not tasks. */
@@ -28,7 +26,7 @@
  * theirs (PROTOCOL, "Preemption"). Nobody falls below what it is due by that. */
 static gboolean gives_way(FkController *c, const FkJob *j, const FkJob *waits) {
   const FkClaimant *team = fk_turn_claimant(c, j->spec->team);
-  if (j->spec->shape != FK_SHAPE_ARRAY || j->cancelled || j->spec->team == waits->spec->team)
+  if (j->spec->shape != FK_SHAPE_ARRAY || j->cancelled || g_str_equal(j->spec->team, waits->spec->team))
     return FALSE;
   if (j->spec->rank > waits->spec->rank)
     return team->used > BEYOND * team->due && !fk_serving_starved(c, j);
@@ -41,13 +39,12 @@
     Candidate k = {j, i, 0, 0};
     for (guint b = 0; j->chunks[i] && b < j->chunks[i]->bookings->len; b++) {
       const FkBooking *x = &g_array_index(j->chunks[i]->bookings, FkBooking, b);
-      double ran = fk_time_between(x->since, c->now), every = j->spec->checkpoint_s;
       if (x->stop) {
         *leaving += j->spec->cpus;
         continue;
       }
       k.cpus += j->spec->cpus;
-      k.loss += (every > 0 ? MIN(ran, every) : ran) * j->spec->cpus;
+      k.loss += fk_work_lost(c, j->spec, x->since);
     }
     if (k.cpus > 0)
       g_array_append_val(list, k);
@@ -58,7 +55,7 @@
 static double spare(FkController *c, const FkJob *j, double room) {
   const FkClaimant *team = fk_turn_claimant(c, j->spec->team);
   const FkServedRow *row = fk_served_class(c->view->served, j->spec->class_name);
-  return MIN(team->used - team->due, (row ? row->cpus : 0) - FLOOR * room);
+  return MIN(team->used - team->due, (row ? row->cpus : 0) - FK_FLOOR * room);
 }
 
 void fk_reclaim(FkController *c, FkStops *s) {
--- a/src/core/serving.c
+++ b/src/core/serving.c
@@ -3,9 +3,6 @@
 #include "core/internal.h"
 
 #define LOOK_S 1.0
-#define FLOOR                                                                                                \
-  0.05 /* of the fleet's CPUs: what one that is hardly served is lifted up to, whatever its rank */
-
 static FkServedJob as_served(const FkJob *j) {
   return (FkServedJob){.class_name = j->spec->class_name,
                        .team = j->spec->team,
@@ -50,7 +47,7 @@
   const FkServedRow *rows[] = {fk_served_class(c->view->served, j->spec->class_name),
                                fk_served_team(c->view->served, j->spec->team)};
   for (guint i = 0; i < G_N_ELEMENTS(rows); i++)
-    if (rows[i] && fk_served_starved(rows[i]) && rows[i]->cpus < FLOOR * room)
+    if (rows[i] && fk_served_starved(rows[i]) && rows[i]->cpus < FK_FLOOR * room)
       return TRUE;
   return FALSE;
 }
--- a/src/core/turn.c
+++ b/src/core/turn.c
@@ -11,7 +11,7 @@
   FkClaimant *claimants; /* in the settings' order of teams */
   double cpus, gpus;     /* of the machines that are up */
   FkTime counted;
-  GPtrArray *ahead; /* FkJob, borrowed until the next look: arrays that wait though it is their turn */
+  GPtrArray *ahead; /* FkJob, with a reference: arrays that wait though it is their turn */
   double ahead_cpus, ahead_s;
 };
 
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -5,6 +5,13 @@
 /* Finals are permanent in the store; memory keeps only the latest of them. */
 #define FINALS_KEPT 20000
 
+void fk_waits_add(FkWaits *to, const FkWaits *more) {
+  to->sum_s += more->sum_s;
+  to->count += more->count;
+  to->all_sum_s += more->all_sum_s;
+  to->all_count += more->all_count;
+}
+
 FkRecord *fk_record_new(FkKeyKind kind) {
   FkRecord *r = g_new0(FkRecord, 1);
   r->kind = kind;
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -61,6 +61,8 @@
   guint64 all_count;
 } FkWaits;
 
+void fk_waits_add(FkWaits *to, const FkWaits *more);
+
 /* What goes under one key. Which members count depends on `kind`. */
 typedef struct {
   FkKeyKind kind;
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -782,6 +782,15 @@
     watched(r, (const char *const[]){page, members, "fk/l/j/run-many", spec->str, "fk/l/t/run-many/00000",
                                      chunk->str, "fk/l/j/run-first", SPEC, NULL});
     fk_view_job(fk_controller_view(r->c), "run-1")->cancelled = TRUE; /* not in the way */
+    if (g_str_equal(cases[i].team, "red")) {
+      /* blue wants all of a large guarantee, so that red holds twice what it is due, within its limit */
+      FkTeam *red = r->s->teams->pdata[0], *blue = r->s->teams->pdata[1];
+      red->cpus_max = blue->cpus_max = 1000;
+      blue->cpus = 300;
+      g_string_replace(spec, "\"team\":\"red\"", "\"team\":\"blue\"", 0);
+      g_string_replace(spec, "\"tasks\":100", "\"tasks\":150", 0);
+      watched(r, (const char *const[]){"fk/l/j/run-blue", spec->str, NULL});
+    }
     r->c->now = fk_time_add(r->now, cases[i].waited_s);
     fk_serving_tick(r->c);
     g_autoptr(GPtrArray) jobs = fk_turn_waiting(r->c);
