--- /dev/null
+++ b/src/lab/sim.h
@@ -0,0 +1,151 @@
+/* What the files of the simulated world share. */
+#pragma once
+#include "lab/world.h"
+
+#define N_MAX 5
+#define DEADLINE_S 2.0
+#define SILENT -1.0
+
+typedef struct {
+  char *value; /* JSON */
+  guint64 stamp, hold;
+} Item;
+typedef struct {
+  char *path;
+  gboolean put;
+  guint64 stamp;
+  char *value;
+} Change;
+typedef struct {
+  gint64 until;
+  double ttl;
+} Hold;
+
+typedef struct {
+  FkController *core; /* NULL: down */
+  guint gen, starts;
+  gint64 cut_state, cut_workers; /* until */
+  gint64 frozen;                 /* it stands still until then; what is sent to it waits */
+} Ctl;
+
+typedef struct {
+  char *job;
+  guint32 task;
+  guint64 attempt;
+  FkTaskState state;
+  FkWhy why;
+  guint64 serial;
+  gboolean on; /* holds its image: on the machine */
+} WTask;
+
+typedef struct {
+  char *id, *type, *zone;
+  gboolean spot, up, gone, sick;
+  gint64 hung;
+  guint64 session, seq, token;
+  gint64 lease_base;
+  GPtrArray *tasks;
+  guint home;
+  guint64 inflight; /* the report under way */
+  gint64 born;
+} Worker;
+
+typedef struct {
+  char *id, *team;
+  FkShape shape;
+  guint32 tasks;
+  double cpus;
+  gboolean spot;
+  char *zone;
+  gboolean one_zone, spread;
+  gboolean accepted, told_done, told_cancelled, asked_cancel;
+  gint64 cancelled_at, done_at, accepted_at;
+  guint8 *finished;
+  double run_s;
+  gboolean lost; /* its machine was lost, and it isn't back */
+  gboolean faulty;
+  const char *class_name;
+  FkRank rank;
+  guint tries; /* starts of a faulty one */
+} UJob;
+
+typedef struct {
+  guint user; /* 0: a worker's report */
+  Worker *w;
+  FkTime sent;
+  guint64 report, session;
+  UJob *job;
+  int kind;
+} Req;
+
+typedef struct {
+  gint64 at;
+  guint64 order;
+  void (*fn)(Sim *, gpointer);
+  gpointer data;
+} Event;
+
+struct Sim {
+  const FkSettings *s;
+  SimPlan plan;
+  GRand *rand;
+  gint64 now;
+  guint64 order, epoch, next_hold, next_req, next_machine, next_serial;
+  GSequence *events;
+  GHashTable *store, *holds, *hires; /* path -> Item; id -> Hold; name -> GPtrArray */
+  GPtrArray *history;                /* Change */
+  gint64 outage;
+  Ctl ctl[N_MAX];
+  int n;                       /* controllers */
+  double tokens, write_tokens; /* the store's budgets */
+  gint64 filled, slow_until, refused_until[N_MAX], peers_refuse_until;
+  const char *cut_zone; /* cut off from everything outside, */
+  gint64 cut_until;     /* until then */
+  GPtrArray *workers, *jobs, *calls, *watches;
+  GHashTable *by_id, *job_by_id;
+  GHashTable *requests; /* number -> Req */
+  GHashTable *truth;    /* "job/task" -> Worker: where it is */
+  gint64 lost_at;       /* when the share of the machines was lost; 0: not yet */
+  gboolean over;        /* what the experiment waits for has happened */
+  gint64 core_ns;       /* spent in the controllers' cores since then */
+  SimResult r;
+};
+
+typedef struct {
+  Sim *sim;
+  int ctl;
+  guint gen;
+  FkOut *out;
+  gboolean answered;
+  gint64 sent;
+} Call;
+
+/* world.c */
+void after(Sim *m, double s, void (*fn)(Sim *, gpointer), gpointer data);
+gboolean chance(Sim *m, double p);
+double between(Sim *m, double a, double b);
+void broken(Sim *m, const char *rule, const char *what);
+FkTime ctl_now(Sim *m, int i);
+const char *ctl_zone(int i);
+/* Whether a cut lies between the two zones; store, cloud and users have none (NULL). */
+gboolean apart(const Sim *m, const char *a, const char *b);
+void drain(Sim *m, int i);
+/* It is no more, and nothing that ran there. */
+void lose(Sim *m, Worker *w);
+void crash(Sim *m, int i);
+
+/* users.c */
+UJob *job_of(Sim *m, const char *id);
+void ujob_free(gpointer p);
+void user_told(Sim *m, const Req *r, const FkOut *o);
+void submit_services(Sim *m);
+void user_submits(Sim *m, gpointer p);
+void guests_come(Sim *m, gpointer p);
+/* Percent of the jobs of the class that was served worst, as the service's users see it; 100 where none is
+ * due. */
+guint worst_class(Sim *m);
+
+/* troubles.c */
+/* The growth experiment's loss: just so many machines, whatever runs there. */
+void lose_a_share(Sim *m, gpointer p);
+void trouble(Sim *m, gpointer p);
--- /dev/null
+++ b/src/lab/users.c
@@ -0,0 +1,230 @@
+/* The users: what they submit, ask and are told, held against the rules. */
+#include "lab/sim.h"
+
+UJob *job_of(Sim *m, const char *id) { return g_hash_table_lookup(m->job_by_id, id); }
+
+void ujob_free(gpointer p) {
+  UJob *j = p;
+  g_free(j->id);
+  g_free(j->team);
+  g_free(j->zone);
+  g_free(j->finished);
+  g_free(j);
+}
+
+enum { SUBMIT, POLL, CANCEL, POLL_GHOST };
+
+static FkSpec *spec_of(const UJob *j) {
+  FkSpec *s = fk_spec_new();
+  s->id = g_strdup(j->id);
+  s->class_name = g_strdup(j->class_name);
+  s->team = g_strdup(j->team);
+  s->shape = j->shape;
+  s->rank = j->rank;
+  s->tasks = j->tasks;
+  s->cpus = j->cpus;
+  s->mem_gb = 2;
+  s->image = g_strdup("img");
+  s->image_gb = 1;
+  s->zone = g_strdup(j->zone);
+  s->one_zone = j->one_zone;
+  s->spread = j->spread;
+  s->spot = j->spot;
+  s->estimate_s = j->shape == FK_SHAPE_SERVICE ? 0 : j->run_s;
+  return s;
+}
+
+static void ask(Sim *m, UJob *j, int kind) {
+  int i = g_rand_int_range(m->rand, 0, m->n);
+  Ctl *c = &m->ctl[i];
+  if (!c->core || apart(m, ctl_zone(i), NULL) || m->now < c->frozen)
+    return;
+  guint64 id = ++m->next_req;
+  Req *r = g_new0(Req, 1);
+  *r = (Req){1, NULL, {m->now}, 0, 0, j, kind};
+  g_hash_table_insert(m->requests, g_memdup2(&id, sizeof id), r);
+  FkTime now = ctl_now(m, i);
+  if (kind == SUBMIT)
+    fk_controller_submit(c->core, now, (FkRequest){id}, spec_of(j));
+  else if (kind == POLL)
+    fk_controller_get(c->core, now, (FkRequest){id}, j->id);
+  else if (kind == CANCEL)
+    fk_controller_cancel(c->core, now, (FkRequest){id}, j->id);
+  else
+    fk_controller_get(c->core, now, (FkRequest){id}, "run-999999");
+  drain(m, i);
+}
+
+void user_told(Sim *m, const Req *r, const FkOut *o) {
+  UJob *j = r->job;
+  if (r->kind == POLL_GHOST) {
+    if (o->status == 200)
+      broken(m, "invented", o->job);
+    return;
+  }
+  if (o->status == 404 && j->accepted && r->sent.us > j->accepted_at)
+    broken(m, "forgotten", j->id);
+  if (r->kind == SUBMIT && (o->status == 400 || o->status == 422) && j->accepted)
+    broken(m, "forgotten", j->id);
+  if (o->status != 200 && o->status != 201)
+    return;
+  gboolean told_done = j->told_done && r->sent.us > j->done_at;
+  gboolean told_cancelled = j->told_cancelled && r->sent.us > j->cancelled_at;
+  if (r->kind == SUBMIT && !j->accepted) {
+    j->accepted = TRUE;
+    j->accepted_at = m->now;
+    m->r.accepted++;
+  }
+  if (o->phase == FK_PHASE_DONE) {
+    for (guint i = 0; i < j->tasks; i++)
+      if (!j->finished[i])
+        broken(m, "not_done", j->id);
+    if (!j->told_done)
+      j->done_at = m->now;
+    j->told_done = TRUE;
+  }
+  if (o->phase == FK_PHASE_CANCELLED) {
+    if (!j->asked_cancel)
+      broken(m, "went_back", j->id);
+    if (!j->told_cancelled) {
+      g_debug("WORLD %.3f the user of %s is told that it is cancelled", m->now / 1e6, j->id);
+      j->cancelled_at = m->now;
+    }
+    j->told_cancelled = TRUE;
+  }
+  /* an answer to a question asked before the user was told may still be the older one */
+  if ((told_done && o->phase != FK_PHASE_DONE) || (told_cancelled && o->phase != FK_PHASE_CANCELLED))
+    broken(m, "went_back", j->id);
+}
+
+static void user_acts(Sim *m, gpointer p) {
+  UJob *j = p;
+  if (!j->accepted)
+    ask(m, j, SUBMIT);
+  else if (j->asked_cancel && !j->told_cancelled && !j->told_done)
+    ask(m, j, CANCEL);
+  else
+    ask(m, j, chance(m, 0.05) ? SUBMIT : POLL);
+  if (j->accepted && m->plan.cancels && !j->told_done && !j->asked_cancel &&
+      chance(m, j->shape == FK_SHAPE_SERVICE ? 0.1 : 0.006)) {
+    j->asked_cancel = TRUE;
+    ask(m, j, CANCEL);
+  }
+  if (j->accepted && j->faulty && !j->asked_cancel && m->now > j->accepted_at + 60000000) {
+    j->asked_cancel = TRUE;
+    ask(m, j, CANCEL);
+  }
+  if (chance(m, 0.02))
+    ask(m, j, POLL_GHOST);
+  after(m, between(m, 0.5, 3), user_acts, j);
+}
+
+/* A service of one task, alone in being asked for: its user comes again until it is accepted, then no more.
+ */
+static void service_asked(Sim *m, gpointer p) {
+  UJob *j = p;
+  if (j->accepted)
+    return;
+  ask(m, j, SUBMIT);
+  after(m, between(m, 0.5, 3), service_asked, j);
+}
+
+static UJob *new_job(Sim *m) {
+  UJob *j = g_new0(UJob, 1);
+  j->id = g_strdup_printf("run-%06u", m->r.submitted++);
+  g_ptr_array_add(m->jobs, j);
+  g_hash_table_insert(m->job_by_id, j->id, j);
+  return j;
+}
+
+void submit_services(Sim *m) {
+  for (guint i = 0; i < m->plan.services; i++) {
+    UJob *j = new_job(m);
+    j->team = g_strdup(i % 2 ? "red" : "blue");
+    j->class_name = "live";
+    j->rank = FK_RANK_HIGH;
+    j->shape = FK_SHAPE_SERVICE;
+    j->tasks = 1;
+    j->cpus = 8; /* a machine each */
+    j->finished = g_new0(guint8, 1);
+    after(m, between(m, 1, 0.6 * m->plan.loss_at), service_asked, j);
+  }
+}
+
+void user_submits(Sim *m, gpointer p) {
+  UJob *j = new_job(m);
+  j->team = g_strdup(chance(m, 0.5) ? "red" : "blue");
+  j->shape = chance(m, 0.15)                   ? FK_SHAPE_SERVICE
+             : m->plan.gangs && chance(m, 0.2) ? FK_SHAPE_GANG
+                                               : FK_SHAPE_ARRAY;
+  j->tasks = (guint32)(j->shape == FK_SHAPE_ARRAY ? g_rand_int_range(m->rand, 1, chance(m, 0.1) ? 40 : 6)
+                                                  : g_rand_int_range(m->rand, 1, 4));
+  j->cpus = chance(m, 0.5) ? 2 : 4;
+  j->spot = j->shape != FK_SHAPE_SERVICE && chance(m, 0.7);
+  j->zone = chance(m, 0.1) ? g_strdup("south") : NULL;
+  j->one_zone = chance(m, 0.15);
+  j->spread = !j->one_zone && !j->zone && chance(m, 0.1);
+  j->run_s = between(m, 1, 15);
+  j->rank = j->shape == FK_SHAPE_SERVICE ? FK_RANK_HIGH : FK_RANK_NORMAL;
+  j->class_name = j->shape == FK_SHAPE_SERVICE ? "live" : j->shape == FK_SHAPE_GANG ? "gangs" : "arrays";
+  j->faulty = j->shape == FK_SHAPE_ARRAY && m->plan.faulty > 0 && chance(m, m->plan.faulty);
+  j->finished = g_new0(guint8, j->tasks);
+  user_acts(m, j);
+  if (m->now < (gint64)((m->plan.submit_s > 0 ? m->plan.submit_s : m->plan.seconds * 0.6) * 1e6))
+    after(m, between(m, 0.5, 6) / (m->plan.scale > 0 ? m->plan.scale : 1), user_submits, NULL);
+}
+
+/* A guest's work: none of it has a claim to room, and all of it is to be served. */
+static void guest_job(Sim *m, const char *team, const char *class_name, guint32 tasks, double cpus,
+                      double run_s) {
+  UJob *j = new_job(m);
+  j->team = g_strdup(team);
+  j->class_name = class_name;
+  j->rank = FK_RANK_LOW;
+  j->shape = FK_SHAPE_ARRAY;
+  j->tasks = tasks;
+  j->cpus = cpus;
+  j->spot = TRUE;
+  j->run_s = run_s;
+  j->finished = g_new0(guint8, tasks);
+  user_acts(m, j);
+}
+
+void guests_come(Sim *m, gpointer p) {
+  guint round = GPOINTER_TO_UINT(p);
+  if (!round)
+    guest_job(m, "guest", "long", 60, 2, 40);
+  if (round == 5) {
+    guest_job(m, "unlimited", "free", 30, 2, 10);
+    guest_job(m, "borrower", "bound", 30, 2, 10);
+  }
+  if (round == 10)
+    guest_job(m, "guest", "huge", 400, 0.25, 2);
+  if (round >= 20 && round < 60)
+    guest_job(m, "guest", "tiny", 1, 0.25, 10);
+  if (round < 60)
+    after(m, 1, guests_come, GUINT_TO_POINTER(round + 1));
+}
+
+/* As the service's users see it: tasks that ran to their end, or replicas that were started. */
+guint worst_class(Sim *m) {
+  static const char *const names[] = {"live", "arrays", "long", "huge", "tiny", "free", "bound"};
+  double worst = 1;
+  for (guint k = 0; k < G_N_ELEMENTS(names); k++) {
+    double due = 0, served = 0;
+    for (guint i = 0; i < m->jobs->len; i++) {
+      const UJob *j = m->jobs->pdata[i];
+      if (!g_str_equal(j->class_name, names[k]) || !j->accepted || j->asked_cancel ||
+          m->now < j->accepted_at + 60000000)
+        continue;
+      guint done = 0;
+      for (guint t = 0; t < j->tasks; t++)
+        done += j->finished[t];
+      due++;
+      served += j->shape == FK_SHAPE_SERVICE ? j->tries > 0 : (double)done / j->tasks;
+    }
+    if (due >= 1)
+      worst = MIN(worst, served / due);
+  }
+  return (guint)(100 * worst);
+}
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -1,144 +1,26 @@
-#include "lab/world.h"
+#include "lab/sim.h"
 
 #include <string.h>
 
 #include "lab/check_view.h"
 #include "wire/store.h"
 
-#define N_MAX 5
-#define DEADLINE_S 2.0
-#define SILENT -1.0
-
-typedef struct {
-  char *value; /* JSON */
-  guint64 stamp, hold;
-} Item;
-typedef struct {
-  char *path;
-  gboolean put;
-  guint64 stamp;
-  char *value;
-} Change;
-typedef struct {
-  gint64 until;
-  double ttl;
-} Hold;
-
-typedef struct {
-  FkController *core; /* NULL: down */
-  guint gen, starts;
-  gint64 cut_state, cut_workers; /* until */
-  gint64 frozen;                 /* it stands still until then; what is sent to it waits */
-} Ctl;
-
-typedef struct {
-  char *job;
-  guint32 task;
-  guint64 attempt;
-  FkTaskState state;
-  FkWhy why;
-  guint64 serial;
-  gboolean on; /* holds its image: on the machine */
-} WTask;
-
-typedef struct {
-  char *id, *type, *zone;
-  gboolean spot, up, gone, sick;
-  gint64 hung;
-  guint64 session, seq, token;
-  gint64 lease_base;
-  GPtrArray *tasks;
-  guint home;
-  guint64 inflight; /* the report under way */
-  gint64 born;
-} Worker;
-
-typedef struct {
-  char *id, *team;
-  FkShape shape;
-  guint32 tasks;
-  double cpus;
-  gboolean spot;
-  char *zone;
-  gboolean one_zone, spread;
-  gboolean accepted, told_done, told_cancelled, asked_cancel;
-  gint64 cancelled_at, done_at, accepted_at;
-  guint8 *finished;
-  double run_s;
-  gboolean lost; /* its machine was lost, and it isn't back */
-  gboolean faulty;
-  const char *class_name;
-  FkRank rank;
-  guint tries; /* starts of a faulty one */
-} UJob;
-
-typedef struct {
-  guint user; /* 0: a worker's report */
-  Worker *w;
-  FkTime sent;
-  guint64 report, session;
-  UJob *job;
-  int kind;
-} Req;
-
-typedef struct {
-  gint64 at;
-  guint64 order;
-  void (*fn)(Sim *, gpointer);
-  gpointer data;
-} Event;
-
-struct Sim {
-  const FkSettings *s;
-  SimPlan plan;
-  GRand *rand;
-  gint64 now;
-  guint64 order, epoch, next_hold, next_req, next_machine, next_serial;
-  GSequence *events;
-  GHashTable *store, *holds, *hires; /* path -> Item; id -> Hold; name -> GPtrArray */
-  GPtrArray *history;                /* Change */
-  gint64 outage;
-  Ctl ctl[N_MAX];
-  int n;                       /* controllers */
-  double tokens, write_tokens; /* the store's budgets */
-  gint64 filled, slow_until, refused_until[N_MAX], peers_refuse_until;
-  const char *cut_zone; /* cut off from everything outside, */
-  gint64 cut_until;     /* until then */
-  GPtrArray *workers, *jobs, *calls, *watches;
-  GHashTable *by_id, *job_by_id;
-  GHashTable *requests; /* number -> Req */
-  GHashTable *truth;    /* "job/task" -> Worker: where it is */
-  gint64 lost_at;       /* when the share of the machines was lost; 0: not yet */
-  gboolean over;        /* what the experiment waits for has happened */
-  gint64 core_ns;       /* spent in the controllers' cores since then */
-  SimResult r;
-};
-
-typedef struct {
-  Sim *sim;
-  int ctl;
-  guint gen;
-  FkOut *out;
-  gboolean answered;
-  gint64 sent;
-} Call;
-
 static int by_time(gconstpointer a, gconstpointer b, gpointer d) {
   const Event *x = a, *y = b;
   return x->at != y->at ? (x->at < y->at ? -1 : 1) : x->order < y->order ? -1 : 1;
 }
 
-static void after(Sim *m, double s, void (*fn)(Sim *, gpointer), gpointer data) {
+void after(Sim *m, double s, void (*fn)(Sim *, gpointer), gpointer data) {
   Event *e = g_new0(Event, 1);
   *e = (Event){m->now + (gint64)(s * 1e6), ++m->order, fn, data};
   g_sequence_insert_sorted(m->events, e, by_time, NULL);
 }
 
-static gboolean chance(Sim *m, double p) { return g_rand_double(m->rand) < p; }
+gboolean chance(Sim *m, double p) { return g_rand_double(m->rand) < p; }
 
-static double between(Sim *m, double a, double b) { return g_rand_double_range(m->rand, a, b); }
+double between(Sim *m, double a, double b) { return g_rand_double_range(m->rand, a, b); }
 
-static void broken(Sim *m, const char *rule, const char *what) {
+void broken(Sim *m, const char *rule, const char *what) {
   if (!m->r.broken)
     m->r.broken = g_strdup_printf("%s: %s at %.3f s (seed %" G_GUINT64_FORMAT ")", rule, what, m->now / 1e6,
                                   m->plan.seed);
@@ -151,7 +33,7 @@
   return (FkTime){1000000 + (gint64)((double)when * (1 + off))};
 }
 
-static FkTime ctl_now(Sim *m, int i) { return ctl_time(m, i, m->now); }
+FkTime ctl_now(Sim *m, int i) { return ctl_time(m, i, m->now); }
 
 /* The cores' processor time is counted from here ... */
 static gint64 core_begins(const Sim *m) { return m->lost_at && m->plan.clock_ns ? m->plan.clock_ns() : 0; }
@@ -162,19 +44,16 @@
     m->core_ns += m->plan.clock_ns() - began;
 }
 
-static const char *ctl_zone(int i) { return i == 1 ? "south" : "north"; }
+const char *ctl_zone(int i) { return i == 1 ? "south" : "north"; }
 
 /* Store, cloud and users have no zone (NULL). */
-static gboolean apart(const Sim *m, const char *a, const char *b) {
+gboolean apart(const Sim *m, const char *a, const char *b) {
   return m->now < m->cut_until && (g_strcmp0(a, m->cut_zone) == 0) != (g_strcmp0(b, m->cut_zone) == 0);
 }
 
 /* What is sent across a cut is held back, and delivered late. */
 static double until_healed(const Sim *m) { return (double)(m->cut_until - m->now) / 1e6 + 0.01; }
 
-static void drain(Sim *m, int i);
-static UJob *job_of(Sim *m, const char *id);
-
 /* ------------------------------------------------------------------ the state service */
 
 static void item_free(gpointer p) {
@@ -545,7 +424,7 @@
 }
 
 /* It is no more, and nothing that ran there. */
-static void lose(Sim *m, Worker *w) {
+void lose(Sim *m, Worker *w) {
   wipe(m, w);
   w->gone = TRUE;
 }
@@ -955,213 +834,6 @@
   }
 }
 
-/* ------------------------------------------------------------------ users */
-
-static UJob *job_of(Sim *m, const char *id) { return g_hash_table_lookup(m->job_by_id, id); }
-
-static void ujob_free(gpointer p) {
-  UJob *j = p;
-  g_free(j->id);
-  g_free(j->team);
-  g_free(j->zone);
-  g_free(j->finished);
-  g_free(j);
-}
-
-enum { SUBMIT, POLL, CANCEL, POLL_GHOST };
-
-static FkSpec *spec_of(const UJob *j) {
-  FkSpec *s = fk_spec_new();
-  s->id = g_strdup(j->id);
-  s->class_name = g_strdup(j->class_name);
-  s->team = g_strdup(j->team);
-  s->shape = j->shape;
-  s->rank = j->rank;
-  s->tasks = j->tasks;
-  s->cpus = j->cpus;
-  s->mem_gb = 2;
-  s->image = g_strdup("img");
-  s->image_gb = 1;
-  s->zone = g_strdup(j->zone);
-  s->one_zone = j->one_zone;
-  s->spread = j->spread;
-  s->spot = j->spot;
-  s->estimate_s = j->shape == FK_SHAPE_SERVICE ? 0 : j->run_s;
-  return s;
-}
-
-static void ask(Sim *m, UJob *j, int kind) {
-  int i = g_rand_int_range(m->rand, 0, m->n);
-  Ctl *c = &m->ctl[i];
-  if (!c->core || apart(m, ctl_zone(i), NULL) || m->now < c->frozen)
-    return;
-  guint64 id = ++m->next_req;
-  Req *r = g_new0(Req, 1);
-  *r = (Req){1, NULL, {m->now}, 0, 0, j, kind};
-  g_hash_table_insert(m->requests, g_memdup2(&id, sizeof id), r);
-  FkTime now = ctl_now(m, i);
-  if (kind == SUBMIT)
-    fk_controller_submit(c->core, now, (FkRequest){id}, spec_of(j));
-  else if (kind == POLL)
-    fk_controller_get(c->core, now, (FkRequest){id}, j->id);
-  else if (kind == CANCEL)
-    fk_controller_cancel(c->core, now, (FkRequest){id}, j->id);
-  else
-    fk_controller_get(c->core, now, (FkRequest){id}, "run-999999");
-  drain(m, i);
-}
-
-static void user_told(Sim *m, const Req *r, const FkOut *o) {
-  UJob *j = r->job;
-  if (r->kind == POLL_GHOST) {
-    if (o->status == 200)
-      broken(m, "invented", o->job);
-    return;
-  }
-  if (o->status == 404 && j->accepted && r->sent.us > j->accepted_at)
-    broken(m, "forgotten", j->id);
-  if (r->kind == SUBMIT && (o->status == 400 || o->status == 422) && j->accepted)
-    broken(m, "forgotten", j->id);
-  if (o->status != 200 && o->status != 201)
-    return;
-  gboolean told_done = j->told_done && r->sent.us > j->done_at;
-  gboolean told_cancelled = j->told_cancelled && r->sent.us > j->cancelled_at;
-  if (r->kind == SUBMIT && !j->accepted) {
-    j->accepted = TRUE;
-    j->accepted_at = m->now;
-    m->r.accepted++;
-  }
-  if (o->phase == FK_PHASE_DONE) {
-    for (guint i = 0; i < j->tasks; i++)
-      if (!j->finished[i])
-        broken(m, "not_done", j->id);
-    if (!j->told_done)
-      j->done_at = m->now;
-    j->told_done = TRUE;
-  }
-  if (o->phase == FK_PHASE_CANCELLED) {
-    if (!j->asked_cancel)
-      broken(m, "went_back", j->id);
-    if (!j->told_cancelled) {
-      g_debug("WORLD %.3f the user of %s is told that it is cancelled", m->now / 1e6, j->id);
-      j->cancelled_at = m->now;
-    }
-    j->told_cancelled = TRUE;
-  }
-  /* an answer to a question asked before the user was told may still be the older one */
-  if ((told_done && o->phase != FK_PHASE_DONE) || (told_cancelled && o->phase != FK_PHASE_CANCELLED))
-    broken(m, "went_back", j->id);
-}
-
-static void user_acts(Sim *m, gpointer p) {
-  UJob *j = p;
-  if (!j->accepted)
-    ask(m, j, SUBMIT);
-  else if (j->asked_cancel && !j->told_cancelled && !j->told_done)
-    ask(m, j, CANCEL);
-  else
-    ask(m, j, chance(m, 0.05) ? SUBMIT : POLL);
-  if (j->accepted && m->plan.cancels && !j->told_done && !j->asked_cancel &&
-      chance(m, j->shape == FK_SHAPE_SERVICE ? 0.1 : 0.006)) {
-    j->asked_cancel = TRUE;
-    ask(m, j, CANCEL);
-  }
-  if (j->accepted && j->faulty && !j->asked_cancel && m->now > j->accepted_at + 60000000) {
-    j->asked_cancel = TRUE;
-    ask(m, j, CANCEL);
-  }
-  if (chance(m, 0.02))
-    ask(m, j, POLL_GHOST);
-  after(m, between(m, 0.5, 3), user_acts, j);
-}
-
-/* A service of one task, alone in being asked for: its user comes again until it is accepted, then no more.
- */
-static void service_asked(Sim *m, gpointer p) {
-  UJob *j = p;
-  if (j->accepted)
-    return;
-  ask(m, j, SUBMIT);
-  after(m, between(m, 0.5, 3), service_asked, j);
-}
-
-static UJob *new_job(Sim *m) {
-  UJob *j = g_new0(UJob, 1);
-  j->id = g_strdup_printf("run-%06u", m->r.submitted++);
-  g_ptr_array_add(m->jobs, j);
-  g_hash_table_insert(m->job_by_id, j->id, j);
-  return j;
-}
-
-static void submit_services(Sim *m) {
-  for (guint i = 0; i < m->plan.services; i++) {
-    UJob *j = new_job(m);
-    j->team = g_strdup(i % 2 ? "red" : "blue");
-    j->class_name = "live";
-    j->rank = FK_RANK_HIGH;
-    j->shape = FK_SHAPE_SERVICE;
-    j->tasks = 1;
-    j->cpus = 8; /* a machine each */
-    j->finished = g_new0(guint8, 1);
-    after(m, between(m, 1, 0.6 * m->plan.loss_at), service_asked, j);
-  }
-}
-
-static void user_submits(Sim *m, gpointer p) {
-  UJob *j = new_job(m);
-  j->team = g_strdup(chance(m, 0.5) ? "red" : "blue");
-  j->shape = chance(m, 0.15)                   ? FK_SHAPE_SERVICE
-             : m->plan.gangs && chance(m, 0.2) ? FK_SHAPE_GANG
-                                               : FK_SHAPE_ARRAY;
-  j->tasks = (guint32)(j->shape == FK_SHAPE_ARRAY ? g_rand_int_range(m->rand, 1, chance(m, 0.1) ? 40 : 6)
-                                                  : g_rand_int_range(m->rand, 1, 4));
-  j->cpus = chance(m, 0.5) ? 2 : 4;
-  j->spot = j->shape != FK_SHAPE_SERVICE && chance(m, 0.7);
-  j->zone = chance(m, 0.1) ? g_strdup("south") : NULL;
-  j->one_zone = chance(m, 0.15);
-  j->spread = !j->one_zone && !j->zone && chance(m, 0.1);
-  j->run_s = between(m, 1, 15);
-  j->rank = j->shape == FK_SHAPE_SERVICE ? FK_RANK_HIGH : FK_RANK_NORMAL;
-  j->class_name = j->shape == FK_SHAPE_SERVICE ? "live" : j->shape == FK_SHAPE_GANG ? "gangs" : "arrays";
-  j->faulty = j->shape == FK_SHAPE_ARRAY && m->plan.faulty > 0 && chance(m, m->plan.faulty);
-  j->finished = g_new0(guint8, j->tasks);
-  user_acts(m, j);
-  if (m->now < (gint64)((m->plan.submit_s > 0 ? m->plan.submit_s : m->plan.seconds * 0.6) * 1e6))
-    after(m, between(m, 0.5, 6) / (m->plan.scale > 0 ? m->plan.scale : 1), user_submits, NULL);
-}
-
-/* A guest's work: none of it has a claim to room, and all of it is to be served. */
-static void guest_job(Sim *m, const char *team, const char *class_name, guint32 tasks, double cpus,
-                      double run_s) {
-  UJob *j = new_job(m);
-  j->team = g_strdup(team);
-  j->class_name = class_name;
-  j->rank = FK_RANK_LOW;
-  j->shape = FK_SHAPE_ARRAY;
-  j->tasks = tasks;
-  j->cpus = cpus;
-  j->spot = TRUE;
-  j->run_s = run_s;
-  j->finished = g_new0(guint8, tasks);
-  user_acts(m, j);
-}
-
-static void guests_come(Sim *m, gpointer p) {
-  guint round = GPOINTER_TO_UINT(p);
-  if (!round)
-    guest_job(m, "guest", "long", 60, 2, 40);
-  if (round == 5) {
-    guest_job(m, "unlimited", "free", 30, 2, 10);
-    guest_job(m, "borrower", "bound", 30, 2, 10);
-  }
-  if (round == 10)
-    guest_job(m, "guest", "huge", 400, 0.25, 2);
-  if (round >= 20 && round < 60)
-    guest_job(m, "guest", "tiny", 1, 0.25, 10);
-  if (round < 60)
-    after(m, 1, guests_come, GUINT_TO_POINTER(round + 1));
-}
-
 static FkSettings *named[N_MAX];
 
 /* Controllers ask each other what they have seen of the store. */
@@ -1195,7 +867,7 @@
   after(m, deadline, give_up, c);
 }
 
-static void drain(Sim *m, int i) {
+void drain(Sim *m, int i) {
   FkOut *o;
   while (m->ctl[i].core && (o = fk_controller_next(m->ctl[i].core))) {
     Call *c = g_new0(Call, 1);
@@ -1265,7 +937,7 @@
   c->core = fk_controller_new(named[i], life, (guint32)g_rand_int(m->rand), ctl_now(m, i));
 }
 
-static void crash(Sim *m, int i) {
+void crash(Sim *m, int i) {
   Ctl *c = &m->ctl[i];
   if (!c->core)
     return;
@@ -1306,145 +978,6 @@
   after(m, 0.2, world_tick, NULL);
 }
 
-/* Many machines at once: some die, some hang for shorter or longer than a lease. */
-static void mass_loss(Sim *m) {
-  double share = between(m, 0.1, 0.5), s = between(m, 0.5, 1.5) * m->s->lease_s;
-  for (guint i = 0; i < m->workers->len; i++) {
-    Worker *w = m->workers->pdata[i];
-    if (w->gone || !chance(m, share))
-      continue;
-    if (chance(m, 0.5)) {
-      w->hung = m->now + (gint64)(s * 1e6);
-    } else {
-      lose(m, w);
-    }
-  }
-}
-
-/* The growth experiment's loss: just so many machines, whatever runs there. */
-static void lose_a_share(Sim *m, gpointer p) {
-  SimRecovery *r = &m->r.recovery;
-  guint here = 0, seen = 0;
-  for (guint i = 0; i < m->workers->len; i++)
-    here += !((Worker *)m->workers->pdata[i])->gone;
-  guint every = (guint)MAX(1, 1 / m->plan.loss_share + 0.5);
-  r->up = g_hash_table_size(m->truth);
-  m->lost_at = m->now;
-  for (guint i = 0; i < m->workers->len; i++) {
-    Worker *w = m->workers->pdata[i];
-    if (w->gone || seen++ % every)
-      continue;
-    for (guint k = 0; k < w->tasks->len; k++) {
-      WTask *t = w->tasks->pdata[k];
-      if (t->on)
-        r->lost += job_of(m, t->job)->lost = TRUE;
-    }
-    lose(m, w);
-  }
-  g_debug("WORLD %.3f of %u machines %u are lost", m->now / 1e6, here, seen / every);
-}
-
-static void cut_a_zone(Sim *m) {
-  static const double times[] = {0.5, 1, 1.5};
-  double s = times[g_rand_int_range(m->rand, 0, 3)] * (chance(m, 0.5) ? m->s->lease_s : m->s->cancel_s);
-  if (m->now < m->cut_until)
-    return;
-  m->cut_zone = chance(m, 0.7) ? "south" : "north";
-  m->cut_until = m->now + (gint64)(s * 1e6);
-  g_debug("WORLD %.3f %s is cut off for %.1f s", m->now / 1e6, m->cut_zone, s);
-}
-
-static void trouble(Sim *m, gpointer p) {
-  if (m->plan.masses && m->now < (gint64)(m->plan.seconds * 0.6e6) && chance(m, 0.3)) {
-    if (chance(m, 0.6))
-      cut_a_zone(m);
-    else
-      mass_loss(m);
-  }
-  if (m->plan.freezes && m->now < (gint64)(m->plan.seconds * 0.6e6) && chance(m, 0.3)) {
-    int i = g_rand_int_range(m->rand, 0, m->n);
-    m->ctl[i].frozen = m->now + (gint64)(between(m, 5, 60) * 1e6);
-    g_debug("WORLD %.3f c-%d stands still until %.3f", m->now / 1e6, i, m->ctl[i].frozen / 1e6);
-  }
-  if (m->now < (gint64)(m->plan.seconds * 0.6e6)) {
-    int i = g_rand_int_range(m->rand, 0, m->n);
-    switch (g_rand_int_range(m->rand, 0, m->plan.more ? 10 : 7)) {
-    case 7:
-      m->slow_until = m->now + (gint64)(between(m, 10, 60) * 1e6);
-      break;
-    case 8:
-      /* one controller alone is refused, longer than a lease or shorter */
-      m->refused_until[i] = m->now + (gint64)(between(m, 5, 1.5 * m->s->lease_s + 10) * 1e6);
-      break;
-    case 9:
-      m->peers_refuse_until = m->now + (gint64)(between(m, 5, 40) * 1e6);
-      break;
-    case 0:
-      if (m->plan.kills)
-        crash(m, i);
-      break;
-    case 1:
-      if (m->plan.kills && chance(m, 0.3))
-        for (int n = 0; n < m->n; n++)
-          crash(m, n);
-      break;
-    case 2:
-      if (m->plan.cuts)
-        m->ctl[i].cut_state = m->now + (gint64)(between(m, 1, 50) * 1e6);
-      break;
-    case 3:
-      if (m->plan.cuts)
-        m->ctl[i].cut_workers = m->now + (gint64)(between(m, 1, 50) * 1e6);
-      break;
-    case 4:
-      if (m->plan.outages) {
-        m->outage = m->now + (gint64)(between(m, 1, 40) * 1e6);
-        GHashTableIter it;
-        gpointer h;
-        g_hash_table_iter_init(&it, m->holds);
-        while (g_hash_table_iter_next(&it, NULL, &h))
-          ((Hold *)h)->until = m->outage + (gint64)(((Hold *)h)->ttl * 1e6);
-      }
-      break;
-    default: {
-      if (!m->workers->len)
-        break;
-      Worker *w = m->workers->pdata[g_rand_int_range(m->rand, 0, (gint)m->workers->len)];
-      if (m->plan.hangs && chance(m, 0.5)) {
-        w->hung = m->now + (gint64)(between(m, 2, 60) * 1e6);
-      } else if (m->plan.deaths) {
-        /* dies silently: stays in the list, never reports */
-        lose(m, w);
-      }
-    }
-    }
-  }
-  after(m, between(m, 2, 15), trouble, NULL);
-}
-
-/* As the service's users see it: tasks that ran to their end, or replicas that were started. */
-static guint worst_class(Sim *m) {
-  static const char *const names[] = {"live", "arrays", "long", "huge", "tiny", "free", "bound"};
-  double worst = 1;
-  for (guint k = 0; k < G_N_ELEMENTS(names); k++) {
-    double due = 0, served = 0;
-    for (guint i = 0; i < m->jobs->len; i++) {
-      const UJob *j = m->jobs->pdata[i];
-      if (!g_str_equal(j->class_name, names[k]) || !j->accepted || j->asked_cancel ||
-          m->now < j->accepted_at + 60000000)
-        continue;
-      guint done = 0;
-      for (guint t = 0; t < j->tasks; t++)
-        done += j->finished[t];
-      due++;
-      served += j->shape == FK_SHAPE_SERVICE ? j->tries > 0 : (double)done / j->tasks;
-    }
-    if (due >= 1)
-      worst = MIN(worst, served / due);
-  }
-  return (guint)(100 * worst);
-}
-
 SimResult sim_run(const FkSettings *s, const SimPlan *plan) {
   Sim *m = g_new0(Sim, 1);
   m->s = s;
