World: the deaf, copies, repeats, alone with workers, back at once, large jobs; silence watched

Machines that are heard and hear nothing; copies of reports at any controller, repeats of commands and transactions that were carried out, a second to two and a half leases later; a controller without store and peers; ends that are over in 0.05 to 0.5 s, sometimes twice, machines as well (session, report and token anew); one job of each kind that is hard to place. Every accepted job must get an answer within 75 s once all troubles are over; the longest silence and the longest wait to begin are in the result.

--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -25,7 +25,8 @@
   FkController *core; /* NULL: down */
   guint gen, starts;
   gint64 cut_state, cut_workers; /* until */
-  gint64 frozen;                 /* it stands still until then; what is sent to it waits */
+  gint64 cut_peers;
+  gint64 frozen; /* it stands still until then; what is sent to it waits */
 } Ctl;
 
 typedef struct {
@@ -42,10 +43,13 @@
   char *id, *type, *zone;
   gboolean spot, up, gone, sick;
   gint64 hung;
+  gint64 deaf;         /* until then nothing reaches it; what it sends arrives */
+  gboolean deaf_holds; /* ... and commands are held back until then, not lost */
   guint64 session, seq, token;
   gint64 lease_base;
   GPtrArray *tasks;
   guint home;
+  guint life; /* what was sent to an earlier one belongs to connections that are gone */
   guint64 inflight; /* the report under way */
   gint64 born;
 } Worker;
@@ -60,6 +64,9 @@
   gboolean one_zone, spread;
   gboolean accepted, told_done, told_cancelled, asked_cancel;
   gint64 cancelled_at, done_at, accepted_at;
+  gint64 answered_at; /* the last question about it that was answered */
+  gint64 began_at;    /* its first task started; 0: not yet */
+  gboolean large;
   guint8 *finished;
   double run_s;
   gboolean lost; /* its machine was lost, and it isn't back */
@@ -118,6 +125,7 @@
   FkOut *out;
   gboolean answered;
   gint64 sent;
+  guint life; /* of the machine that it was sent to */
 } Call;
 
 /* world.c */
@@ -133,6 +141,8 @@
 /* It is no more, and nothing that ran there. */
 void lose(Sim *m, Worker *w);
 void crash(Sim *m, int i);
+/* The machine is back within a fraction of a second, and has begun anew. */
+void reboot(Sim *m, Worker *w);
 
 /* users.c */
 UJob *job_of(Sim *m, const char *id);
@@ -141,6 +151,9 @@
 void submit_services(Sim *m);
 void user_submits(Sim *m, gpointer p);
 void guests_come(Sim *m, gpointer p);
+void large_ones_come(Sim *m, gpointer p);
+/* Nobody is forgotten once all troubles are over. */
+void users_tick(Sim *m);
 /* Percent of the jobs of the class that was served worst, as the service's users see it; 100 where none is
  * due. */
 guint worst_class(Sim *m);
--- a/src/lab/troubles.c
+++ b/src/lab/troubles.c
@@ -49,7 +49,48 @@
   g_debug("WORLD %.3f %s is cut off for %.1f s", m->now / 1e6, m->cut_zone, s);
 }
 
+/* Machines that are heard and hear nothing, for less or more than a lease. */
+static void go_deaf(Sim *m) {
+  double share = chance(m, 0.3) ? 0.1 : 0, s = between(m, 10, 2.5 * m->s->lease_s);
+  guint one = (guint)g_rand_int_range(m->rand, 0, (gint)MAX(1, m->workers->len));
+  for (guint i = 0; i < m->workers->len; i++) {
+    Worker *w = m->workers->pdata[i];
+    if (w->gone || (i != one && !chance(m, share)))
+      continue;
+    w->deaf = m->now + (gint64)(s * 1e6);
+    w->deaf_holds = chance(m, 0.5);
+    g_debug("WORLD %.3f %s hears nothing for %.1f s", m->now / 1e6, w->id, s);
+  }
+}
+
+/* One controller is left with nobody but its workers. */
+static void leave_alone(Sim *m, int i) {
+  double s = between(m, 5, 2 * m->s->lease_s);
+  m->ctl[i].cut_state = m->ctl[i].cut_peers = m->now + (gint64)(s * 1e6);
+  g_debug("WORLD %.3f c-%d is alone with its workers for %.1f s", m->now / 1e6, i, s);
+}
+
+static void reboot_some(Sim *m) {
+  double share = chance(m, 0.1) ? 1 : chance(m, 0.3) ? 0.2 : 0;
+  guint one = (guint)g_rand_int_range(m->rand, 0, (gint)MAX(1, m->workers->len));
+  for (guint i = 0; i < m->workers->len; i++)
+    if (i == one || chance(m, share))
+      reboot(m, m->workers->pdata[i]);
+}
+
+static void new_troubles(Sim *m, int i) {
+  if (m->plan.deaf && chance(m, 0.3))
+    go_deaf(m);
+  if (m->plan.alone && chance(m, 0.2))
+    leave_alone(m, i);
+  if (m->plan.quick && chance(m, 0.2))
+    reboot_some(m);
+}
+
 void trouble(Sim *m, gpointer p) {
+  gboolean still = m->now < (gint64)(m->plan.seconds * 0.6e6);
+  if (still && (m->plan.deaf || m->plan.alone || m->plan.quick))
+    new_troubles(m, g_rand_int_range(m->rand, 0, m->n));
   if (m->plan.masses && m->now < (gint64)(m->plan.seconds * 0.6e6) && chance(m, 0.3)) {
     if (chance(m, 0.6))
       cut_a_zone(m);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -24,7 +24,15 @@
   gboolean freezes;  /* controllers stand still for 5 to 60 s while their clocks run */
   gboolean guests;   /* a team without guarantee or limit comes with one huge array, long tasks and tiny jobs,
                         one with   a guarantee alone and one with a limit alone with an array each */
-  gboolean clocks;   /* the steady clocks are off by all that PROTOCOL allows, in turn */
+  gboolean
+      deaf; /* machines that are heard and hear nothing: one, or a tenth of all, for seconds to minutes */
+  double copies;   /* chance that a report, a command or a transaction that was carried out comes once more,
+                      a second to two and a half leases later; reports at any controller */
+  gboolean alone;  /* a controller loses the store and the other controllers, but not its workers */
+  gboolean quick;  /* what ends is back after 0.05 to 0.5 s, sometimes to end again at once; machines too,
+                      with session, report and token starting anew */
+  gboolean large;  /* one job of each kind that is hard to place, under a stream of small ones */
+  gboolean clocks; /* the steady clocks are off by all that PROTOCOL allows, in turn */
   /* The growth experiment: nothing but so many services of one task, all up when a share of the machines is
    * lost at once. */
   guint services;
@@ -51,7 +59,12 @@
   guint worst_class; /* percent of the jobs of the class that was served worst; 100 where none is due */
   guint sick;        /* healthy machines that were returned though nothing else was wrong with them */
   guint requests, writes, refused; /* at the store */
-  char *broken;                    /* the first broken rule, or NULL */
+  guint lapsed;                    /* leases that ran out with tasks on the machine */
+  double silence_s; /* the longest without an answer about a job, once all troubles were over */
+  double begin_s;   /* the longest that a job waited for its first task, from its acceptance or the end of the
+                       troubles on */
+  double large_s;   /* ... a large one, troubles or not */
+  char *broken;     /* the first broken rule, or NULL */
   SimRecovery recovery;
 } SimResult;
 
