The largest begin: jobs that wait too long go first, and room is kept for them

Cause (sim_large, own world): the queue puts the least work left first and fills each gap as it opens, so a job of whole machines, of a gang or of one zone waits for ever under a stream of small ones: 405 s, with room all the time. Change: core/overdue.c: a job of which nothing has begun after 0.55 of the four minutes goes first among its rank and its team's standing; for the first three such that their team's limit allows, the machines where room comes soonest are kept (a gang: as many as it has tasks, one zone or half a zone where it asks for that), and others go there only if they end before. What it wants is said in the log. teams/served.c knows sizes: the largest tenth of each class is a row of its own; while less than half of it is served, it goes first as well. Elastic Sizing is as it was.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -1,5 +1,6 @@
 /* The controller: its session with the store, and the users' requests. */
 #include "core/internal.h"
+#include "core/overdue.h"
 #include "core/turn.h"
 
 #include <string.h>
@@ -960,6 +961,7 @@
   c->fleet = fk_fleet_new(now);
   c->money = fk_money_new();
   c->turn = fk_turn_new(s);
+  c->overdue = fk_overdue_new();
   c->pending = g_array_new(FALSE, FALSE, sizeof(FkPend));
   c->window_end = fk_time_add(now, s->tuning.window_s);
   c->store_ok = now;
@@ -998,6 +1000,7 @@
   fk_fleet_free(c->fleet);
   fk_money_free(c->money);
   fk_turn_free(c->turn);
+  fk_overdue_free(c->overdue);
   fk_view_free(c->view);
   g_rand_free(c->rand);
   g_free(c->list_after);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -57,6 +57,7 @@
 typedef struct FkTell FkTell;
 typedef struct FkMoney FkMoney;
 typedef struct FkTurn FkTurn;
+typedef struct FkOverdue FkOverdue;
 
 #define FK_EPS 1e-6 /* amounts are sums of fractions */
 #define FK_FLOOR                                                                                             \
@@ -173,6 +174,7 @@
   FkFleet *fleet;
   FkMoney *money;
   FkTurn *turn;
+  FkOverdue *overdue;
   FkTime served_looked;
   gboolean starving; /* some class or team is, by the latest look */
   GHashTable *types; /* name -> FkType */
@@ -235,6 +237,8 @@
 void fk_serving_tick(FkController *c);
 /* A line for each class and team; those of which less than half is served as a warning. */
 void fk_serving_tell(FkController *c);
+/* The job is one of the largest of its class, of which less than half is served. */
+gboolean fk_serving_largest_starved(FkController *c, const FkJob *j);
 /* The job's class is hardly served. */
 gboolean fk_serving_starved(FkController *c, const FkJob *j);
 /* The job is of a class or team of which less than half is served, and which hasn't a floor of the fleet's
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -27,6 +27,8 @@
   g_free(s);
 }
 
+double fk_spec_size(const FkSpec *s) { return s->tasks * s->cpus * MAX(1, s->estimate_s); }
+
 guint32 fk_spec_chunks(const FkSpec *s) { return (s->tasks + s->chunk - 1) / s->chunk; }
 
 guint32 fk_spec_chunk_tasks(const FkSpec *s, guint32 chunk) {
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -32,6 +32,8 @@
 FkSpec *fk_spec_ref(FkSpec *s);
 void fk_spec_unref(FkSpec *s);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkSpec, fk_spec_unref)
+/* What all of its tasks take together, by their owner's estimate, in CPU-seconds. */
+double fk_spec_size(const FkSpec *s);
 guint32 fk_spec_chunks(const FkSpec *s);
 guint32 fk_spec_chunk_tasks(const FkSpec *s, guint32 chunk);
 
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -1,6 +1,7 @@
 /* The leader: a key on a hold names it. It places long jobs, sizes the short partition, rents and returns.
  * Nothing is unsafe when two controllers think they lead: every decision is guarded by itself. */
 #include "core/batch.h"
+#include "core/overdue.h"
 #include "core/stops.h"
 
 #include <string.h>
@@ -205,6 +206,7 @@
     log_fleet(c);
     fk_money_tell(c);
     fk_serving_tell(c);
+    fk_overdue_tell(c);
   }
 }
 
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -1,6 +1,7 @@
 /* The long path: the leader places services, gangs and long arrays, each task on the best machine that isn't
  * barred; and the other controllers leave it the room that it would take. */
 #include "core/batch.h"
+#include "core/overdue.h"
 #include "core/turn.h"
 
 #define GANG_LAUNCH_S 8.0 /* all transactions of one gang's launch */
@@ -40,7 +41,7 @@
   for (guint k = 0; k < machines->len; k++) {
     FkMachine *m = machines->pdata[k];
     if ((m->barred && !passes_bar(c, j)) || (zone && !g_str_equal(zone, m->rec->zone)) ||
-        !fk_room(c, m, j->spec) || !fk_job_allows(c, j, m))
+        !fk_room(c, m, j->spec) || !fk_job_allows(c, j, m) || fk_overdue_keeps(c, j, m))
       continue;
     double cost = long_cost(c, j, m) + (m->barred ? 1000 : 0);
     if (!best || cost < best_cost) {
@@ -152,8 +153,8 @@
         if (displace(c, b, j, &usable, best ? LOSS_MAX : G_MAXDOUBLE))
           continue;
       }
-      if (!best || fk_turn_yields(c, j, best) || !fk_leaves_reserve(c, best, j->spec, &spare) ||
-          !fk_batch_book(c, b, j, best))
+      if (!best || fk_turn_yields(c, j, best) ||
+          !(j->urgent || fk_leaves_reserve(c, best, j->spec, &spare)) || !fk_batch_book(c, b, j, best))
         break;
     }
   }
--- /dev/null
+++ b/src/core/overdue.h
@@ -0,0 +1,19 @@
+/* Jobs that wait too long to begin: whose turn it is by age, and what room is kept for them. Without this the
+ * largest of a class starve under a steady stream of small ones, which are complete sooner and fill each gap
+ * as it opens: an array of whole machines waited for 400 s and more (simulated machines, sim_large). */
+#pragma once
+#include "core/internal.h"
+
+FkOverdue *fk_overdue_new(void);
+void fk_overdue_free(FkOverdue *o);
+/* None of its tasks has begun, and the time in which one must is more than half over. */
+gboolean fk_overdue(FkController *c, const FkJob *j);
+/* Works out for whom room is kept, and where; `jobs` are those that wait, in their order. */
+void fk_overdue_look(FkController *c, GPtrArray *jobs);
+/* The job must leave the machine alone: it is kept for another, and the job wouldn't have ended by the time
+ * that the other can begin there. */
+gboolean fk_overdue_keeps(FkController *c, const FkJob *j, const FkMachine *m);
+/* For whom the machine is kept, or NULL; borrowed from the view. */
+FkJob *fk_overdue_for(FkController *c, const FkMachine *m);
+/* Logs who waits too long to begin, and for want of what. */
+void fk_overdue_tell(FkController *c);
--- a/src/core/serving.c
+++ b/src/core/serving.c
@@ -10,7 +10,8 @@
                        .done = j->done,
                        .running = j->booked,
                        .waiting = fk_job_waiting(j),
-                       .cpus = j->booked * j->spec->cpus};
+                       .cpus = j->booked * j->spec->cpus,
+                       .size = fk_spec_size(j->spec)};
 }
 
 void fk_serving_tick(FkController *c) {
@@ -22,7 +23,11 @@
   gpointer p;
   g_hash_table_iter_init(&it, c->view->jobs);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
-    const FkJob *j = p;
+    FkJob *j = p;
+    if (!j->sized) {
+      fk_served_sized(c->view->served, j->spec->class_name, fk_spec_size(j->spec));
+      j->sized = TRUE;
+    }
     /* one that fails everywhere is its user's to mend: no room would serve it */
     if (j->cancelled || j->doubted)
       continue;
@@ -41,6 +46,12 @@
   return c->starving && row && fk_served_starved(row);
 }
 
+gboolean fk_serving_largest_starved(FkController *c, const FkJob *j) {
+  const FkServedRow *row = c->starving ? fk_served_largest(c->view->served, j->spec->class_name) : NULL;
+  return row && fk_served_starved(row) &&
+         fk_served_is_large(c->view->served, j->spec->class_name, fk_spec_size(j->spec));
+}
+
 gboolean fk_serving_lifts(FkController *c, const FkJob *j, double room) {
   if (!c->starving)
     return FALSE;
@@ -62,7 +73,10 @@
     g_log(G_LOG_DOMAIN, starved ? G_LOG_LEVEL_MESSAGE : G_LOG_LEVEL_INFO,
           "served: %s %s: %u jobs done, %u live, %" G_GUINT64_FORMAT " tasks run, %" G_GUINT64_FORMAT
           " wait, the oldest for %.0f s; %.0f%% of %.0f jobs are served%s",
-          r->team ? "team" : "class", r->name, r->ended, r->live, r->running, r->waiting, r->oldest_s,
-          100 * fk_served_share(r), r->due, starved ? "; LESS THAN HALF" : "");
+          r->kind == FK_SERVED_TEAM    ? "team"
+          : r->kind == FK_SERVED_CLASS ? "class"
+                                       : "the largest of",
+          r->name, r->ended, r->live, r->running, r->waiting, r->oldest_s, 100 * fk_served_share(r), r->due,
+          starved ? "; LESS THAN HALF" : "");
   }
 }
--- a/src/core/short.c
+++ b/src/core/short.c
@@ -1,5 +1,6 @@
 /* The short path: batch sampling and late binding, by each controller on its own machines. */
 #include "core/batch.h"
+#include "core/overdue.h"
 #include "core/turn.h"
 
 #include <math.h>
@@ -133,7 +134,8 @@
         fk_turn_yields(c, j, m))
       continue;
     while (short_is_ours(c, j) && fk_room(c, m, j->spec) && fk_team_allows(c, j->spec) &&
-           fk_job_allows(c, j, m) && fk_leaves_reserve(c, m, j->spec, spare) && fk_batch_book(c, b, j, m))
+           fk_job_allows(c, j, m) && (j->urgent || fk_leaves_reserve(c, m, j->spec, spare)) &&
+           fk_batch_book(c, b, j, m))
       ;
   }
 }
@@ -179,6 +181,22 @@
     g_ptr_array_set_size(open, (gint)keep);
 }
 
+/* A machine that is kept for a job is sampled by it, whoever else is. */
+static void sample_kept(FkController *c, GPtrArray *open, GPtrArray *mine) {
+  for (guint i = 0; i < mine->len; i++) {
+    FkMachine *m = mine->pdata[i];
+    FkJob *j = fk_overdue_for(c, m);
+    if (!j || fk_spec_long(c, j->spec) || !short_is_ours(c, j))
+      continue;
+    if (!m->probes)
+      m->probes = g_ptr_array_new_with_free_func(fk_job_unref);
+    if (!has_probe(m->probes, j) && (m->probes->len < QUEUE_MAX || make_way(m->probes, j)))
+      g_ptr_array_add(m->probes, fk_job_ref(j));
+    if (!g_ptr_array_find(open, m, NULL))
+      g_ptr_array_add(open, m);
+  }
+}
+
 /* The smallest that waits: a machine with less room than this isn't worth a look. */
 static gboolean least_wanted(GPtrArray *jobs, gboolean arrays, double *cpus, double *mem) {
   gboolean any = FALSE;
@@ -215,6 +233,7 @@
       j->probed = c->now;
     }
   }
+  sample_kept(c, open, mine);
   g_ptr_array_sort_with_data(open, by_load, c);
   double spare = fk_spare_slots(c, open, mine->len, 1.0 / fk_controllers(c));
   gboolean spot_first = spot_has_room(c, jobs);
--- a/src/core/turn.c
+++ b/src/core/turn.c
@@ -2,6 +2,7 @@
 #include "core/turn.h"
 
 #include "core/batch.h"
+#include "core/overdue.h"
 
 #define ROOM_S 1.0   /* the fleet's size is looked at so often */
 #define AHEAD_MOST 4 /* of the jobs that others yield to, the first */
@@ -41,6 +42,8 @@
     return (int)x->rank_now - (int)y->rank_now;
   if (x->standing != y->standing)
     return (int)x->standing - (int)y->standing;
+  if (x->urgent != y->urgent)
+    return x->urgent ? -1 : 1;
   gboolean hope_x = x->latest_s < G_MAXDOUBLE, hope_y = y->latest_s < G_MAXDOUBLE;
   if (hope_x != hope_y)
     return hope_x ? -1 : 1;
@@ -110,6 +113,7 @@
  * them by it; and who is hardly served at all gets a floor, as if its rank were the usual one. */
 static void take_place(FkController *c, FkJob *j) {
   j->rank_now = j->spec->rank;
+  j->urgent = fk_overdue(c, j) || fk_serving_largest_starved(c, j);
   j->standing = fk_share_standing(fk_turn_claimant(c, j->spec->team));
   if (fk_settings_team(c->settings, j->spec->team)->cpus <= 0)
     j->rank_now = MAX(j->rank_now, FK_RANK_NORMAL);
@@ -155,7 +159,9 @@
 }
 
 gboolean fk_turn_yields(FkController *c, const FkJob *j, const FkMachine *m) {
-  if (j->rank_now <= FK_RANK_NORMAL || j->spec->shape == FK_SHAPE_SERVICE)
+  if (fk_overdue_keeps(c, j, m))
+    return TRUE;
+  if (j->rank_now <= FK_RANK_NORMAL || j->urgent || j->spec->shape == FK_SHAPE_SERVICE)
     return FALSE;
   for (guint i = 0; i < c->turn->ahead->len; i++) {
     const FkJob *first = c->turn->ahead->pdata[i];
@@ -204,5 +210,6 @@
     c->services_waiting += j->spec->shape == FK_SHAPE_SERVICE ? fk_job_waiting(j) : 0;
   }
   note_ahead(c, c->turn, jobs);
+  fk_overdue_look(c, jobs);
   return jobs;
 }
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -733,7 +733,7 @@
       g_hash_table_replace(v->orphans, path, g_memdup2(&j->bases[i]->rev, sizeof(FkRev)));
     }
   if (!j->cancelled)
-    fk_served_ended(v->served, j->spec->class_name, j->spec->team);
+    fk_served_ended(v->served, j->spec->class_name, j->spec->team, fk_spec_size(j->spec));
   fk_blame_job_gone(v->blame, id);
   g_hash_table_remove(v->jobs, id);
 }
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -126,6 +126,8 @@
   FkRank rank_now;        /* its place in the queue: its rank, or what its team has a claim to */
   FkStanding standing;    /* its team's, among those who want room */
   guint place;            /* in the queue, from 1; 0: never yet */
+  gboolean urgent;        /* goes first among its rank and its team's standing */
+  gboolean sized;         /* its size is in the books */
   FkTime probed;
   double latest_s;     /* how far off its latest useful start is; sorts the queue */
   FkTime gang_until;   /* a gang's launch may go on in further transactions until then */
--- a/src/teams/served.h
+++ b/src/teams/served.h
@@ -9,8 +9,12 @@
 /* One class or team at the latest look. Jobs that their users have withdrawn count nowhere. */
 typedef struct {
   const char *name; /* the book's own */
-  gboolean team;    /* or a class */
-  guint ended;      /* jobs done since the book was opened */
+  enum {
+    FK_SERVED_CLASS,
+    FK_SERVED_LARGEST,
+    FK_SERVED_TEAM
+  } kind;      /* LARGEST: the largest jobs of the class */
+  guint ended; /* jobs done since the book was opened */
   guint live;
   guint64 waiting, running; /* tasks of live jobs */
   double cpus;              /* booked */
@@ -24,13 +28,19 @@
   double age_s;
   guint32 tasks, done, running, waiting;
   double cpus; /* booked */
+  double size; /* what the whole job takes, in CPU-seconds */
 } FkServedJob;
 
 FkServed *fk_served_new(void);
 void fk_served_free(FkServed *b);
 void fk_served_clear(FkServed *b);
+/* A job of that size is there: once for each job. */
+void fk_served_sized(FkServed *b, const char *class_name, double size);
+/* Whether a job of that size is one of the largest of its class: of the largest tenth of those seen, and
+ * those as large as the least of them; one at the least. Sizes count in steps of a fifth. */
+gboolean fk_served_is_large(const FkServed *b, const char *class_name, double size);
 /* A job is done. */
-void fk_served_ended(FkServed *b, const char *class_name, const char *team);
+void fk_served_ended(FkServed *b, const char *class_name, const char *team, double size);
 
 /* A look: first this, then every live job. */
 void fk_served_begin(FkServed *b);
@@ -42,6 +52,8 @@
 gboolean fk_served_starved(const FkServedRow *r);
 /* The row as of the latest look, or NULL. */
 const FkServedRow *fk_served_class(const FkServed *b, const char *name);
+/* The row of the class's largest jobs. */
+const FkServedRow *fk_served_largest(const FkServed *b, const char *class_name);
 const FkServedRow *fk_served_team(const FkServed *b, const char *name);
 /* All rows, by kind and name. Free the array; the rows are the book's. */
 GPtrArray *fk_served_rows(const FkServed *b);
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -25,6 +25,7 @@
   double limits;                          /* the teams' limits, times this */
   guint served;                           /* percent of each class that must be served by the end */
   guint healthy_returned;                 /* at most; 0: any */
+  double large_s;                         /* the longest that a large job may wait to begin; 0: any */
 } Case;
 
 #define DAY .seconds = 260, .cancels = TRUE, .machines = 12
@@ -151,6 +152,37 @@
     /* controllers that stand still for 5 to 60 s while their clocks run, alone and with all else */
     {"freezes", 16, FALSE, {DAY, .freezes = TRUE, .late = 0.02, .scale = 2}},
     {"freezes_all", 16, FALSE, {ALL_OF(300), .freezes = TRUE, .machines = 20, .up = 12, .scale = 2, FIVE}},
+    /* what is checked at the end of a day, on days of troubles that were on no list: machines that are heard
+       and hear nothing; copies of reports and repeats of what was carried out; controllers alone with their
+       workers; ends that are over in a moment; and all of it with all else */
+    {"deaf",
+     20,
+     FALSE,
+     {DAY, .deaf = TRUE, .late = 0.02, .up = 24, .scale = 2},
+     .served = 50},
+    {"copies",
+     20,
+     FALSE,
+     {DAY, .copies = 0.15, .late = 0.02, .up = 10, .scale = 2, .hangs = TRUE},
+     .served = 50},
+    {"alone", 20, FALSE, {DAY, .alone = TRUE, .late = 0.02, .up = 10, .scale = 2}, .served = 50},
+    {"quick",
+     20,
+     FALSE,
+     {DAY, .quick = TRUE, .kills = TRUE, .late = 0.02, .up = 16, .scale = 2},
+     .served = 50},
+    {"unlisted",
+     30,
+     FALSE,
+     {ALL_OF(300), .deaf = TRUE, .copies = 0.1, .alone = TRUE, .quick = TRUE, .masses = TRUE, .freezes = TRUE,
+      .machines = 24, .up = 12, .scale = 2, FIVE}},
+    {"large",
+     6,
+     FALSE,
+     {.seconds = 420, .submit_s = 400, .cancels = TRUE, .machines = 12, .up = 12, .scale = 4, .large = TRUE},
+     .served = 50,
+     .limits = 20,
+     .large_s = 240},
     /* wrong_place: a gang's launch went on after a member had left, with the same attempt number */
     {"gangs", 0, FALSE, ALL, 78},
     /* ran_twice: a home cut off from the store released by lease, its release came through late, another
@@ -204,6 +236,11 @@
     }
     g_test_message("the worst class: %u%% served; %u healthy machines returned with work on them",
                    r.worst_class, r.sick);
+    g_test_message(
+        "longest: %.0f s without an answer, %.0f s to begin, %.0f s a large one; %u leases ran out",
+        r.silence_s, r.begin_s, r.large_s, r.lapsed);
+    if (c->large_s > 0)
+      g_assert_cmpfloat(r.large_s, <=, c->large_s);
     g_assert_cmpuint(r.worst_class, >=, c->served);
     if (c->healthy_returned)
       g_assert_cmpuint(r.sick, <=, c->healthy_returned);
--- a/test/test_teams.c
+++ b/test/test_teams.c
@@ -231,27 +231,27 @@
     double share;
     gboolean starved;
   } cases[] = {
-      {"nothing due yet", {{"c", "t", 10, 4, 0, 0, 4, 0}}, 0, 1, FALSE},
-      {"none of it has started", {{"c", "t", 70, 4, 0, 0, 4, 0}}, 0, 0, TRUE},
-      {"... but not for long", {{"c", "t", 50, 4, 0, 0, 4, 0}}, 0, 0, FALSE},
+      {"nothing due yet", {{"c", "t", 10, 4, 0, 0, 4, 0, 1}}, 0, 1, FALSE},
+      {"none of it has started", {{"c", "t", 70, 4, 0, 0, 4, 0, 1}}, 0, 0, TRUE},
+      {"... but not for long", {{"c", "t", 50, 4, 0, 0, 4, 0, 1}}, 0, 0, FALSE},
       {"half of a huge array is done or runs",
-       {{"c", "t", 300, 20000, 6000, 4000, 10000, 1000}},
+       {{"c", "t", 300, 20000, 6000, 4000, 10000, 1000, 1}},
        0,
        0.5,
        FALSE},
-      {"a little less", {{"c", "t", 300, 20000, 6000, 3000, 11000, 750}}, 0, 0.45, TRUE},
+      {"a little less", {{"c", "t", 300, 20000, 6000, 3000, 11000, 750, 1}}, 0, 0.45, TRUE},
       {"those that ended count",
-       {{"c", "t", 300, 1, 0, 0, 1, 0}, {"c", "t", 300, 1, 0, 0, 1, 0}},
+       {{"c", "t", 300, 1, 0, 0, 1, 0, 1}, {"c", "t", 300, 1, 0, 0, 1, 0, 1}},
        2,
        0.5,
        FALSE},
-      {"all run, late", {{"c", "t", 300, 2, 0, 2, 0, 4}}, 0, 1, FALSE},
+      {"all run, late", {{"c", "t", 300, 2, 0, 2, 0, 4, 1}}, 0, 1, FALSE},
   };
   for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
     FkServed *b = fk_served_new();
     g_test_message("%s", cases[i].what);
     for (guint k = 0; k < cases[i].ended; k++)
-      fk_served_ended(b, "c", "t");
+      fk_served_ended(b, "c", "t", 1);
     for (guint look = 0; look < 2; look++) { /* a second look counts nothing twice */
       fk_served_begin(b);
       for (guint k = 0; k < 2 && cases[i].jobs[k].tasks; k++)
@@ -273,7 +273,7 @@
   FkServed *b = fk_served_new();
   for (guint i = 0; i < 5000; i++) {
     g_autofree char *name = g_strdup_printf("class-%u", i);
-    fk_served_ended(b, name, "t");
+    fk_served_ended(b, name, "t", 1);
   }
   g_autoptr(GPtrArray) all = fk_served_rows(b);
   g_assert_cmpuint(all->len, <=, 1001);
