--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -37,6 +37,12 @@
 
 #define FIVE .controllers = 5, .more = TRUE
 
+#define DAY_OF .seconds = 260, .cancels = TRUE, .late = 0.02, .scale = 2
+#define DEAF DAY_OF, .deaf = TRUE, .machines = 24, .up = 24
+#define COPIES DAY_OF, .copies = 0.15, .hangs = TRUE, .machines = 12, .up = 10
+#define ALONE DAY_OF, .alone = TRUE, .machines = 12, .up = 10
+#define QUICK DAY_OF, .quick = TRUE, .kills = TRUE, .machines = 16, .up = 16
+
 static const Case cases[] = {
     /* five controllers, a store within its rates, refusals of one controller alone, peers that refuse each
        other */
@@ -155,22 +161,14 @@
     /* what is checked at the end of a day, on days of troubles that were on no list: machines that are heard
        and hear nothing; copies of reports and repeats of what was carried out; controllers alone with their
        workers; ends that are over in a moment; and all of it with all else */
-    {"deaf",
-     20,
-     FALSE,
-     {DAY, .deaf = TRUE, .late = 0.02, .up = 24, .scale = 2},
-     .served = 50},
-    {"copies",
-     20,
-     FALSE,
-     {DAY, .copies = 0.15, .late = 0.02, .up = 10, .scale = 2, .hangs = TRUE},
-     .served = 50},
-    {"alone", 20, FALSE, {DAY, .alone = TRUE, .late = 0.02, .up = 10, .scale = 2}, .served = 50},
-    {"quick",
-     20,
-     FALSE,
-     {DAY, .quick = TRUE, .kills = TRUE, .late = 0.02, .up = 16, .scale = 2},
-     .served = 50},
+    {"deaf", 20, FALSE, {DEAF}, .served = 50},
+    {"deaf_five", 20, FALSE, {DEAF, FIVE}, .served = 50},
+    {"copies", 20, FALSE, {COPIES}, .served = 50},
+    {"copies_five", 20, FALSE, {COPIES, FIVE}, .served = 50},
+    {"alone", 20, FALSE, {ALONE}, .served = 50},
+    {"alone_five", 20, FALSE, {ALONE, FIVE}, .served = 50},
+    {"quick", 20, FALSE, {QUICK}, .served = 50},
+    {"quick_five", 20, FALSE, {QUICK, FIVE}, .served = 50},
     {"unlisted",
      30,
      FALSE,
