--- /dev/null
+++ b/test/rig.c
@@ -0,0 +1,151 @@
+#include "rig.h"
+
+#include <string.h>
+
+#include "wire/settings.h"
+#include "wire/store.h"
+
+void pump(Rig *r) {
+  FkOut *o;
+  while ((o = fk_controller_next(r->c)))
+    g_ptr_array_add(r->outs, o);
+}
+
+FkOut *find(Rig *r, FkOutKind kind, const char *key) {
+  for (guint i = r->outs->len; i--;) {
+    FkOut *o = r->outs->pdata[i];
+    gboolean hit = o->kind == kind && !key;
+    for (guint k = 0; key && o->kind == kind && o->writes && k < o->writes->len; k++)
+      hit |= g_str_has_prefix(g_array_index(o->writes, FkWrite, k).path, key);
+    if (hit)
+      return o;
+  }
+  return NULL;
+}
+
+void tick(Rig *r, double s) {
+  for (double t = 0; t < s; t += 0.1) {
+    r->now = fk_time_add(r->now, 0.1);
+    fk_controller_tick(r->c, r->now, r->now.us + 5000000);
+    pump(r);
+  }
+}
+
+/* The watch tells of changes, all of one revision. `lines`: path and JSON by turns, NULL at the end. */
+void watched(Rig *r, const char *const *lines) {
+  g_autoptr(GPtrArray) events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+  r->epoch++;
+  for (guint i = 0; lines && lines[i]; i += 2) {
+    FkEvent *e = g_new0(FkEvent, 1);
+    e->path = g_strdup(lines[i]);
+    e->rev.n = r->epoch;
+    g_autoptr(cJSON) j = fk_json_parse(lines[i + 1], strlen(lines[i + 1]));
+    e->record = fk_store_record_from_json(lines[i], j);
+    g_assert_nonnull(e->record);
+    g_ptr_array_add(events, e);
+  }
+  fk_controller_watched(r->c, r->now, FK_OK, events, (FkRev){r->epoch}, r->now);
+  pump(r);
+}
+
+char *group_key(const char *kind) {
+  g_autofree char *id = fk_group_id("north", "i-1");
+  return g_strconcat("fk/l/", kind, "/", id, NULL);
+}
+
+/* A controller that is ready, and home to machine i-1; `life` of the claim. */
+Rig *rig_new(gboolean ours) {
+  Rig *r = g_new0(Rig, 1);
+  g_autofree char *text = NULL;
+  gsize len;
+  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
+  r->s = fk_settings_parse(text, len, NULL);
+  r->now.us = 100000000;
+  r->epoch = 10;
+  r->outs = g_ptr_array_new_with_free_func((GDestroyNotify)fk_out_free);
+  r->c = fk_controller_new(r->s, "now", 1, r->now);
+  tick(r, 0.1);
+  g_autoptr(GPtrArray) none = g_ptr_array_new();
+  fk_controller_listed(r->c, r->now, FK_OK, none, FALSE, (FkRev){10});
+  GPtrArray *types = g_ptr_array_new();
+  FkType *t = g_new0(FkType, 1);
+  *t = (FkType){g_strdup("box8"), 8, 0, 32, 1, 0.4, 0.1, 5, g_strsplit("north,south", ",", 0)};
+  g_ptr_array_add(types, t);
+  fk_controller_types(r->c, r->now, FK_OK, types);
+  g_ptr_array_unref(types);
+  g_autofree char *claim = group_key("g"), *page = group_key("m");
+  g_autofree char *claim_value =
+      ours ? g_strdup("{\"node\":\"c-0\",\"life\":\"now\"}") : g_strdup("{\"node\":\"c-1\",\"life\":\"x\"}");
+  const char *lines[] = {claim,
+                         claim_value,
+                         page,
+                         "{\"zone\":\"north\",\"m\":[[\"i-1\",\"box8\",\"127.0.0.1:9\",0]]}",
+                         "fk/l/j/run-1",
+                         SPEC,
+                         "fk/l/n/c-0",
+                         "{\"life\":\"now\"}",
+                         "fk/l/n/c-2",
+                         "{\"life\":\"y\"}",
+                         NULL};
+  watched(r, lines);
+  return r;
+}
+
+void rig_free(Rig *r) {
+  fk_controller_free(r->c);
+  g_ptr_array_unref(r->outs);
+  fk_settings_free(r->s);
+  g_free(r);
+}
+
+void report(Rig *r, guint64 session, guint64 seq, guint64 token, const char *state, FkWhy why) {
+  FkReport *rep = fk_report_new();
+  rep->machine = g_strdup("i-1");
+  rep->addr = g_strdup("127.0.0.1:9");
+  rep->type = g_strdup("box8");
+  rep->zone = g_strdup("north");
+  rep->session = session;
+  rep->seq = seq;
+  rep->token.n = token;
+  if (state) {
+    FkTaskReport *t = g_new0(FkTaskReport, 1);
+    *t = (FkTaskReport){
+        g_strdup("run-1"), 0, {1}, g_str_equal(state, "running") ? FK_TASK_RUNNING : FK_TASK_EXITED, why};
+    g_ptr_array_add(rep->tasks, t);
+  }
+  fk_controller_report(r->c, r->now, (FkRequest){seq}, rep);
+  pump(r);
+}
+
+gboolean guarded(const FkOut *t, const char *prefix) {
+  for (guint i = 0; i < t->guards->len; i++)
+    if (g_str_has_prefix(g_array_index(t->guards, FkGuard, i).path, prefix))
+      return TRUE;
+  return FALSE;
+}
+
+guint starts(const FkOut *o) {
+  guint n = 0;
+  for (guint i = 0; o && o->orders && i < o->orders->len; i++)
+    n += ((FkOrder *)o->orders->pdata[i])->op == FK_ORDER_START;
+  return n;
+}
+
+FkReport *says(Rig *r, const char *machine, const char *zone, guint64 session, guint64 seq) {
+  FkReport *rep = fk_report_new();
+  rep->machine = g_strdup(machine);
+  rep->addr = g_strdup("127.0.0.1:9");
+  rep->type = g_strdup("box8");
+  rep->zone = g_strdup(zone);
+  rep->session = session;
+  rep->seq = seq;
+  g_autofree char *group = fk_group_id(zone, machine);
+  rep->token.n = fk_view_group(fk_controller_view(r->c), group)->rev.n; /* it has seen its home's claim */
+  return rep;
+}
+
+void report_of(Rig *r, const char *machine, const char *zone) {
+  guint64 seq = ++r->tally;
+  fk_controller_report(r->c, r->now, (FkRequest){seq}, says(r, machine, zone, 1, seq));
+  pump(r);
+}
