--- a/src/core/home.c
+++ b/src/core/home.c
@@ -343,7 +343,11 @@
  * away in vain. While the view is fresh a token that it lacks is no claim's, and counts for nothing but its
  * own machine. */
 static void note_token(FkController *c, FkGroup *g, FkToken token) {
-  if (token.n <= MAX(g->rev.n, g->later.n) || fk_time_between(fk_confirmed(c), c->now) < STALE_S)
+  if (fk_time_between(fk_confirmed(c), c->now) < STALE_S) {
+    g->later.n = 0;
+    return;
+  }
+  if (token.n <= MAX(g->rev.n, g->later.n))
     return;
   g->later.n = token.n;
   g_message("group %s has another home by now: its workers are sent away", g->id);
--- a/test/test_unlisted.c
+++ b/test/test_unlisted.c
@@ -232,6 +232,10 @@
     }
     says_now(r, says(r, mate, "north", 1, 1));
     g_assert_cmpint(latest(r, FK_OUT_REPLY)->status, ==, cases[i].other);
+    /* a view that is fresh again would show such a claim: the group is ours, and answered */
+    watched(r, NULL);
+    says_now(r, says(r, mate, "north", 1, 2));
+    g_assert_cmpint(latest(r, FK_OUT_REPLY)->status, ==, 200);
     rig_free(r);
   }
 }
