--- a/src/core/home.c
+++ b/src/core/home.c
@@ -432,6 +432,7 @@
  * asked of the machine itself, and a flood of copies costs one question a second at the most. */
 static void refuse_copy(FkController *c, FkRequest r, FkMachine *m) {
   FkHome *h = m->home;
+  c->copies++;
   reply(c, r, 503);
   if (fk_time_between(h->evidence.heard, c->now) >= COPY_ASK_S)
     command(c, m, TRUE);
@@ -487,7 +488,8 @@
   FkHome *h = m->home;
   note_token(c, g, report->token);
   if (MAX(report->token.n, g->later.n) > g->rev.n) {
-    /* a later claim than ours has been seen */
+    /* a later claim than ours has been seen; with a fresh view there can be none */
+    c->impossible += !g->later.n && fk_time_between(fk_confirmed(c), c->now) < STALE_S;
     reply(c, r, 421);
     fk_report_free(report);
     return;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -128,6 +128,7 @@
 
   /* workers */
   GQueue *held;          /* FkHeldReport: waiting for a claim */
+  guint copies, impossible; /* reports refused in this window: copies; with a token that no claim has */
   GHashTable *redirects; /* machine -> FkRedirect */
   GHashTable *commands;  /* call -> machine id (interned) */
 
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -157,11 +157,14 @@
   }
   g_info(
       "sizes: %u jobs, %u machines (%u ours), %u bookings, %u finals, %u chunks with ends, %u ends to write, "
-      "%u probes, %u reports held, %u redirects, %u calls, %u jobs and %u machines with failures",
+      "%u probes, %u reports held (%u copies and %u with impossible tokens refused), %u redirects, %u calls, "
+      "%u jobs and %u machines with failures",
       g_hash_table_size(v->jobs), g_hash_table_size(v->machines), homes, books, g_hash_table_size(v->finals),
-      g_hash_table_size(v->ends), g_hash_table_size(c->ended), probes, c->held->length,
-      g_hash_table_size(c->redirects), g_hash_table_size(c->commits) + g_hash_table_size(c->gets),
-      fk_blame_jobs(v->blame), fk_blame_machines(v->blame));
+      g_hash_table_size(v->ends), g_hash_table_size(c->ended), probes, c->held->length, c->copies,
+      c->impossible, g_hash_table_size(c->redirects),
+      g_hash_table_size(c->commits) + g_hash_table_size(c->gets), fk_blame_jobs(v->blame),
+      fk_blame_machines(v->blame));
+  c->copies = c->impossible = 0;
 }
 
 static void waits_put(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {}
--- a/src/lab/troubles.c
+++ b/src/lab/troubles.c
@@ -85,6 +85,10 @@
     leave_alone(m, i);
   if (m->plan.quick && chance(m, 0.2))
     reboot_some(m);
+  gboolean all = m->plan.quick && chance(m, 0.1);
+  for (int k = 0; m->plan.quick && k < m->n; k++)
+    if (all || (k == i && chance(m, 0.5)))
+      crash(m, k);
 }
 
 void trouble(Sim *m, gpointer p) {
