--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -25,7 +25,8 @@
   double limits;                          /* the teams' limits, times this */
   guint served;                           /* percent of each class that must be served by the end */
   guint healthy_returned;                 /* at most; 0: any */
-  double large_s;                         /* the longest that a large job may wait to begin; 0: any */
+  double begin_s; /* ... that any job may, once all troubles are over, where there is room */
+  double large_s; /* the longest that a large job may wait to begin; 0: any */
 } Case;
 
 #define DAY .seconds = 260, .cancels = TRUE, .machines = 12
@@ -161,14 +162,14 @@
     /* what is checked at the end of a day, on days of troubles that were on no list: machines that are heard
        and hear nothing; copies of reports and repeats of what was carried out; controllers alone with their
        workers; ends that are over in a moment; and all of it with all else */
-    {"deaf", 20, FALSE, {DEAF}, .served = 50},
-    {"deaf_five", 20, FALSE, {DEAF, FIVE}, .served = 50},
-    {"copies", 20, FALSE, {COPIES}, .served = 50},
-    {"copies_five", 20, FALSE, {COPIES, FIVE}, .served = 50},
-    {"alone", 20, FALSE, {ALONE}, .served = 50},
-    {"alone_five", 20, FALSE, {ALONE, FIVE}, .served = 50},
-    {"quick", 20, FALSE, {QUICK}, .served = 50},
-    {"quick_five", 20, FALSE, {QUICK, FIVE}, .served = 50},
+    {"deaf", 20, FALSE, {DEAF}, .served = 50, .limits = 20, .begin_s = 100},
+    {"deaf_five", 20, FALSE, {DEAF, FIVE}, .served = 50, .limits = 20, .begin_s = 100},
+    {"copies", 20, FALSE, {COPIES}, .served = 50, .limits = 20, .begin_s = 100},
+    {"copies_five", 20, FALSE, {COPIES, FIVE}, .served = 50, .limits = 20, .begin_s = 100},
+    {"alone", 20, FALSE, {ALONE}, .served = 50, .limits = 20, .begin_s = 100},
+    {"alone_five", 20, FALSE, {ALONE, FIVE}, .served = 50, .limits = 20, .begin_s = 100},
+    {"quick", 20, FALSE, {QUICK}, .served = 50, .limits = 20, .begin_s = 100},
+    {"quick_five", 20, FALSE, {QUICK, FIVE}, .served = 50, .limits = 20, .begin_s = 100},
     {"unlisted",
      30,
      FALSE,
@@ -237,6 +238,8 @@
     g_test_message(
         "longest: %.0f s without an answer, %.0f s to begin, %.0f s a large one; %u leases ran out",
         r.silence_s, r.begin_s, r.large_s, r.lapsed);
+    if (c->begin_s > 0)
+      g_assert_cmpfloat(r.begin_s, <=, c->begin_s);
     if (c->large_s > 0)
       g_assert_cmpfloat(r.large_s, <=, c->large_s);
     g_assert_cmpuint(r.worst_class, >=, c->served);
