--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -834,6 +834,14 @@
   return w;
 }
 
+/* Something runs there, or is to; ended attempts may stay in its reports for long. */
+static gboolean at_work(const Worker *w) {
+  for (guint i = 0; i < w->tasks->len; i++)
+    if (((WTask *)w->tasks->pdata[i])->state != FK_TASK_EXITED)
+      return TRUE;
+  return FALSE;
+}
+
 static void cloud_handles(Sim *m, gpointer p) {
   Call *c = p;
   FkOut *o = c->out;
@@ -876,7 +884,7 @@
       Worker *w = worker_of(m, o->names->pdata[i]);
       if (w && !w->gone) {
         /* what runs there runs well, and is lost for nothing */
-        m->r.sick += w->up && !w->sick && !m->plan.deaths && !m->plan.hangs && w->tasks->len > 0;
+        m->r.sick += w->up && !w->sick && !m->plan.deaths && !m->plan.hangs && at_work(w);
         lose(m, w);
       }
     }
