Read again: one place deals with a question without store or view; kept machines are looked up once

No behaviour changes: three checks of the same two conditions (submit, withdraw, polls) are one function, with which a forward declaration goes; who a machine is kept for was looked up twice in the path of each placement; a job's age was reckoned twice a look. test_core, unlisted, evidence, teams and the schedules kills, outages, quick, guests, everything pass.

--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -750,12 +750,15 @@
   fk_txn_send(c, t, verified, asks, free_asks);
 }
 
-static gboolean store_lost(FkController *c);
+static gboolean store_lost(FkController *c) {
+  /* nothing heard for a while although requests are made all the time: don't let users wait for it */
+  return fk_time_between(c->store_ok, c->now) > 3.0;
+}
 
 /* A controller without a view asks the store itself, for a few at a time: a question must not stay open for
  * as long as somebody lists. Nothing can be accepted so: that needs to know who may run, and where. */
 static void without_view(FkController *c, Ask *a) {
-  if (store_lost(c) || c->reads >= READS_MAX) {
+  if (c->reads >= READS_MAX) {
     answer_later(c, a);
     return;
   }
@@ -763,17 +766,21 @@
   read_live(c, a);
 }
 
-static gboolean store_lost(FkController *c) {
-  /* nothing heard for a while although requests are made all the time: don't let users wait for it */
-  return fk_time_between(c->store_ok, c->now) > 3.0;
+/* Without the store, or without a view, the question is dealt with here. */
+static gboolean dealt_with(FkController *c, Ask *a) {
+  if (store_lost(c))
+    answer_later(c, a);
+  else if (!fk_ready(c))
+    without_view(c, a);
+  else
+    return FALSE;
+  return TRUE;
 }
 
 static void verify_add(FkController *c, Ask *a) {
-  if (!fk_ready(c)) {
-    without_view(c, a);
+  if (dealt_with(c, a))
     return;
-  }
-  if (store_lost(c) || c->verify->length >= VERIFY_MAX) {
+  if (c->verify->length >= VERIFY_MAX) {
     answer_later(c, a);
     return;
   }
@@ -821,14 +828,8 @@
   Ask *a = ask_new(c, ASK_SUBMIT, r, spec->id, spec);
   if (answered_from_memory(c, a))
     return;
-  if (!fk_ready(c)) {
-    without_view(c, a);
-    return;
-  }
-  if (store_lost(c)) {
-    answer_later(c, a);
+  if (dealt_with(c, a))
     return;
-  }
   if (fk_view_job(c->view, a->id)) {
     verify_add(c, a);
     return;
@@ -881,17 +882,13 @@
   Ask *a = ask_new(c, ASK_CANCEL, r, id, NULL);
   if (answered_from_memory(c, a))
     return;
-  if (store_lost(c)) {
-    answer_later(c, a);
+  if (dealt_with(c, a))
     return;
-  }
-  FkJob *j = fk_ready(c) ? fk_view_job(c->view, id) : NULL;
+  FkJob *j = fk_view_job(c->view, id);
   if (j)
     cancel_commit(c, a, j->spec, j->rev);
-  else if (fk_ready(c))
-    read_live(c, a);
   else
-    without_view(c, a);
+    read_live(c, a);
 }
 
 guint fk_controllers(FkController *c) {
--- a/src/core/overdue.c
+++ b/src/core/overdue.c
@@ -179,19 +179,28 @@
   }
 }
 
+/* Asked of every job and machine that are looked at: mostly none is kept. */
+static const Kept *kept_on(FkController *c, const FkMachine *m) {
+  return g_hash_table_size(c->overdue->kept) ? g_hash_table_lookup(c->overdue->kept, m->id) : NULL;
+}
+
+static FkJob *still_waits(FkController *c, const Kept *k) {
+  FkJob *j = fk_view_job(c->view, k->job);
+  return j && fk_job_waiting(j) && fk_overdue(c, j) ? j : NULL;
+}
+
 gboolean fk_overdue_keeps(FkController *c, const FkJob *j, const FkMachine *m) {
-  const Kept *k = g_hash_table_size(c->overdue->kept) ? g_hash_table_lookup(c->overdue->kept, m->id) : NULL;
+  const Kept *k = kept_on(c, m);
   if (!k || g_str_equal(k->job, j->spec->id) || j->rank_now < k->rank ||
-      (j->rank_now == k->rank && j->place < k->place) || !fk_overdue_for(c, m))
+      (j->rank_now == k->rank && j->place < k->place) || !still_waits(c, k))
     return FALSE;
   double run_s = ENDS_LATE * fk_view_run_s(c->view, j->spec);
   return j->spec->shape != FK_SHAPE_ARRAY || !fk_time_reached(k->free_at, fk_time_add(c->now, run_s));
 }
 
 FkJob *fk_overdue_for(FkController *c, const FkMachine *m) {
-  const Kept *k = g_hash_table_size(c->overdue->kept) ? g_hash_table_lookup(c->overdue->kept, m->id) : NULL;
-  FkJob *j = k ? fk_view_job(c->view, k->job) : NULL;
-  return j && fk_job_waiting(j) && fk_overdue(c, j) ? j : NULL;
+  const Kept *k = kept_on(c, m);
+  return k ? still_waits(c, k) : NULL;
 }
 
 static const char *want_of(FkController *c, const FkJob *j) {
--- a/src/core/turn.c
+++ b/src/core/turn.c
@@ -114,12 +114,13 @@
  * were the usual one. (A guest's six sweeps waited for up to 352 s to begin on a recorded day.) */
 static void take_place(FkController *c, FkJob *j) {
   j->rank_now = j->spec->rank;
-  j->urgent = fk_overdue(c, j) || fk_serving_largest_starved(c, j);
+  gboolean overdue = fk_overdue(c, j);
+  j->urgent = overdue || fk_serving_largest_starved(c, j);
   j->standing = fk_share_standing(fk_turn_claimant(c, j->spec->team));
   if (fk_settings_team(c->settings, j->spec->team)->cpus <= 0)
     j->rank_now = MAX(j->rank_now, FK_RANK_NORMAL);
   /* whoever must begin soon is lifted until its first task has */
-  if (j->rank_now < FK_RANK_NORMAL || !(fk_overdue(c, j) || fk_serving_lifts(c, j, c->turn->cpus)))
+  if (j->rank_now < FK_RANK_NORMAL || !(overdue || fk_serving_lifts(c, j, c->turn->cpus)))
     return;
   j->rank_now = FK_RANK_NORMAL;
   j->standing = FK_STANDING_PROTECTED;
