--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -128,6 +128,16 @@
   guint life; /* of the machine that it was sent to */
 } Call;
 
+/* What a worker is answered, under way. */
+typedef struct {
+  Worker *w;
+  Req req;
+  int status;
+  FkToken token;
+  GPtrArray *orders;
+  int to;
+} Reply;
+
 /* world.c */
 void after(Sim *m, double s, void (*fn)(Sim *, gpointer), gpointer data);
 gboolean chance(Sim *m, double p);
@@ -138,11 +148,46 @@
 /* Whether a cut lies between the two zones; store, cloud and users have none (NULL). */
 gboolean apart(const Sim *m, const char *a, const char *b);
 void drain(Sim *m, int i);
+void crash(Sim *m, int i);
+
+FkTime ctl_time(const Sim *m, int i, gint64 when);
+/* The cores' processor time is counted from here to there. */
+gint64 core_begins(const Sim *m);
+void core_ends(Sim *m, gint64 began);
+/* What is sent across a cut is held back, and delivered late: after so many seconds. */
+double until_healed(const Sim *m);
+gboolean alive(Call *c);
+void deliver(Call *c, FkOutcome o, FkRev epoch, GPtrArray *list, gboolean more, FkReport *report);
+void answer(Call *c, FkOutcome o, FkRev epoch, GPtrArray *list, gboolean more, FkReport *report);
+/* What would reach a frozen controller reaches it when it goes on. Whether it is so. */
+gboolean waits_for_frozen(Sim *m, int ctl, void (*fn)(Sim *, gpointer), gpointer data);
+
+/* store.c */
+void item_free(gpointer p);
+void change_free(gpointer p);
+void expire_holds(Sim *m);
+void notify(Sim *m);
+gboolean refused(Sim *m, int ctl);
+void store_handles(Sim *m, gpointer p);
+/* When a copy of what was sent arrives. */
+double once_more_after(Sim *m);
+
+/* workers.c */
 /* It is no more, and nothing that ran there. */
 void lose(Sim *m, Worker *w);
-void crash(Sim *m, int i);
 /* The machine is back within a fraction of a second, and has begun anew. */
 void reboot(Sim *m, Worker *w);
+void worker_free(gpointer p);
+Worker *worker_of(Sim *m, const char *id);
+Worker *new_worker(Sim *m, const char *zone, gboolean spot, double boot);
+gboolean hung(Sim *m, const Worker *w);
+void check_lease(Sim *m, Worker *w);
+void worker_commanded(Sim *m, gpointer p);
+void report_sent(Sim *m, gpointer p);
+void reply_arrives(Sim *m, gpointer p);
+
+/* cloud.c */
+void cloud_handles(Sim *m, gpointer p);
 
 /* users.c */
 UJob *job_of(Sim *m, const char *id);
--- /dev/null
+++ b/src/lab/store.c
@@ -0,0 +1,230 @@
+/* The state service, after PROTOCOL. */
+#include <string.h>
+
+#include "lab/sim.h"
+#include "wire/store.h"
+
+void item_free(gpointer p) {
+  Item *i = p;
+  g_free(i->value);
+  g_free(i);
+}
+
+void change_free(gpointer p) {
+  Change *c = p;
+  g_free(c->path);
+  g_free(c->value);
+  g_free(c);
+}
+
+static void record_change(Sim *m, const char *path, const char *value) {
+  Change *c = g_new0(Change, 1);
+  *c = (Change){g_strdup(path), value != NULL, m->epoch, g_strdup(value)};
+  g_ptr_array_add(m->history, c);
+}
+
+void expire_holds(Sim *m) {
+  GHashTableIter it, kt;
+  gpointer k, v, path, item;
+  g_hash_table_iter_init(&it, m->holds);
+  while (m->now >= m->outage && g_hash_table_iter_next(&it, &k, &v)) {
+    if (((Hold *)v)->until > m->now)
+      continue;
+    m->epoch++;
+    g_hash_table_iter_init(&kt, m->store);
+    while (g_hash_table_iter_next(&kt, &path, &item))
+      if (((Item *)item)->hold == *(guint64 *)k) {
+        record_change(m, path, NULL);
+        g_hash_table_iter_remove(&kt);
+      }
+    g_hash_table_iter_remove(&it);
+  }
+}
+
+static GPtrArray *changes_after(Sim *m, guint64 after_rev) {
+  GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+  g_autoptr(GHashTable) last = g_hash_table_new(g_str_hash, g_str_equal);
+  guint first = m->history->len;
+  while (first && ((Change *)m->history->pdata[first - 1])->stamp > after_rev)
+    first--;
+  for (guint i = first; i < m->history->len; i++) {
+    Change *c = m->history->pdata[i];
+    FkEvent *e = g_new0(FkEvent, 1);
+    e->path = g_strdup(c->path);
+    e->rev.n = c->stamp;
+    if (c->put) {
+      g_autoptr(cJSON) j = fk_json_parse(c->value, strlen(c->value));
+      e->record = fk_store_record_from_json(c->path, j);
+      g_assert_nonnull(e->record);
+    }
+    g_ptr_array_add(events, e);
+  }
+  return events;
+}
+
+static FkOutcome commit(Sim *m, const FkOut *o, FkRev *epoch, GPtrArray *failed) {
+  for (guint i = 0; i < o->guards->len; i++) {
+    const FkGuard *g = &g_array_index(o->guards, FkGuard, i);
+    Item *it = g_hash_table_lookup(m->store, g->path);
+    if ((it ? it->stamp : 0) != g->rev.n)
+      g_ptr_array_add(failed, g_strdup(g->path));
+  }
+  g_assert_cmpuint(o->writes->len, <=, m->s->txn_ops);
+  g_assert_cmpuint(o->guards->len, <=, 4 * m->s->txn_ops);
+  for (guint i = 0; i < o->writes->len; i++) {
+    const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
+    if (w->record && w->hold.n && !g_hash_table_contains(m->holds, &w->hold.n))
+      return FK_INVALID;
+  }
+  *epoch = (FkRev){m->epoch};
+  if (failed->len)
+    return FK_CONFLICT;
+  if (!o->writes->len)
+    return FK_OK;
+  m->epoch++;
+  for (guint i = 0; i < o->writes->len; i++) {
+    const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
+    if (w->record) {
+      g_autoptr(cJSON) j = fk_store_record_to_json(w->record);
+      Item *it = g_new0(Item, 1);
+      *it = (Item){fk_json_print(j), m->epoch, w->hold.n};
+      g_assert_cmpuint(strlen(it->value), <=, (gsize)(m->s->value_kb * 1024));
+      record_change(m, w->path, it->value);
+      g_hash_table_replace(m->store, g_strdup(w->path), it);
+    } else if (g_hash_table_remove(m->store, w->path)) {
+      record_change(m, w->path, NULL);
+    }
+  }
+  *epoch = (FkRev){m->epoch};
+  return FK_OK;
+}
+
+gboolean refused(Sim *m, int ctl) { return m->now < m->outage || m->now < m->refused_until[ctl]; }
+
+static void watch_answer(Sim *m, Call *c) {
+  answer(c, FK_OK, (FkRev){m->epoch}, changes_after(m, c->out->rev.n), FALSE, NULL);
+}
+
+void notify(Sim *m) {
+  for (guint i = 0; i < m->watches->len;) {
+    Call *c = m->watches->pdata[i];
+    if (!refused(m, c->ctl) && m->epoch > c->out->rev.n) {
+      g_ptr_array_remove_index_fast(m->watches, i);
+      watch_answer(m, c);
+    } else {
+      i++;
+    }
+  }
+}
+
+static void watch_ends(Sim *m, gpointer p) {
+  if (g_ptr_array_remove_fast(m->watches, p) && !refused(m, ((Call *)p)->ctl))
+    watch_answer(m, p);
+}
+
+/* The store's budgets, with bursts of one second's worth. */
+static gboolean within_budget(Sim *m, const FkOut *o) {
+  double s = (m->now - m->filled) / 1e6;
+  guint writes = o->kind == FK_OUT_COMMIT ? o->writes->len : 0;
+  m->filled = m->now;
+  m->tokens = MIN(m->s->state_rps, m->tokens + s * m->s->state_rps);
+  m->write_tokens = MIN(m->s->state_write_rps, m->write_tokens + s * m->s->state_write_rps);
+  if (m->plan.budgets && (m->tokens < 1 || (writes && m->write_tokens < writes))) {
+    m->r.refused++;
+    return FALSE;
+  }
+  m->tokens -= 1;
+  m->write_tokens -= writes;
+  m->r.requests++;
+  m->r.writes += writes;
+  if (m->lost_at) {
+    m->r.recovery.requests++;
+    m->r.recovery.writes += writes;
+  }
+  return TRUE;
+}
+
+/* When a copy of what was sent arrives. */
+double once_more_after(Sim *m) { return between(m, 1, 2.5 * m->s->lease_s); }
+
+/* A transaction that was carried out comes once more. */
+static void commit_repeated(Sim *m, gpointer p) {
+  g_autoptr(GPtrArray) failed = g_ptr_array_new_with_free_func(g_free);
+  FkRev epoch;
+  expire_holds(m);
+  commit(m, ((Call *)p)->out, &epoch, failed);
+  notify(m);
+}
+
+void store_handles(Sim *m, gpointer p) {
+  Call *c = p;
+  FkOut *o = c->out;
+  FkRev epoch = {m->epoch};
+  if (m->now < m->outage || m->now < m->refused_until[c->ctl] || !within_budget(m, o)) {
+    answer(c, FK_REFUSED, epoch, NULL, FALSE, NULL);
+    return;
+  }
+  expire_holds(m);
+  switch (o->kind) {
+  case FK_OUT_COMMIT: {
+    GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
+    FkOutcome r = commit(m, o, &epoch, failed);
+    answer(c, r, epoch, failed, FALSE, NULL);
+    if (o->writes->len && chance(m, m->plan.copies))
+      after(m, once_more_after(m), commit_repeated, c);
+    break;
+  }
+  case FK_OUT_GET: {
+    Item *it = g_hash_table_lookup(m->store, o->path);
+    GPtrArray *one = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+    if (it) {
+      g_autoptr(cJSON) j = fk_json_parse(it->value, strlen(it->value));
+      FkEvent *e = g_new0(FkEvent, 1);
+      *e = (FkEvent){g_strdup(o->path), fk_store_record_from_json(o->path, j), {it->stamp}};
+      g_ptr_array_add(one, e);
+    }
+    answer(c, it ? FK_OK : FK_GONE, epoch, one, FALSE, NULL);
+    break;
+  }
+  case FK_OUT_LIST: {
+    GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+    g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(m->store), (GCompareFunc)g_strcmp0);
+    gboolean more = FALSE;
+    for (GList *l = keys; l && !more; l = l->next) {
+      if (!g_str_has_prefix(l->data, o->path) || g_strcmp0(l->data, o->after) <= 0)
+        continue;
+      Item *it = g_hash_table_lookup(m->store, l->data);
+      g_autoptr(cJSON) j = fk_json_parse(it->value, strlen(it->value));
+      FkEvent *e = g_new0(FkEvent, 1);
+      *e = (FkEvent){g_strdup(l->data), fk_store_record_from_json(l->data, j), {it->stamp}};
+      g_ptr_array_add(events, e);
+      more = events->len >= (m->plan.up > 50 ? 200 : 7); /* small pages: many of them */
+    }
+    answer(c, FK_OK, epoch, events, more, NULL);
+    break;
+  }
+  case FK_OUT_WATCH:
+    if (m->epoch > o->rev.n || o->seconds <= 0) {
+      watch_answer(m, c);
+    } else {
+      g_ptr_array_add(m->watches, c);
+      after(m, o->seconds, watch_ends, c);
+    }
+    break;
+  case FK_OUT_HOLD_NEW: {
+    Hold *h = g_new0(Hold, 1);
+    *h = (Hold){m->now + (gint64)(o->seconds * 1e6), o->seconds};
+    epoch.n = ++m->next_hold;
+    g_hash_table_insert(m->holds, g_memdup2(&epoch.n, sizeof epoch.n), h);
+    answer(c, FK_OK, epoch, NULL, FALSE, NULL);
+    break;
+  }
+  default: {
+    Hold *h = g_hash_table_lookup(m->holds, &o->rev.n);
+    if (h)
+      h->until = m->now + (gint64)(h->ttl * 1e6);
+    answer(c, h ? FK_OK : FK_GONE, epoch, NULL, FALSE, NULL);
+  }
+  }
+  notify(m);
+}
