--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -127,10 +127,10 @@
   guint txns[FK_PRIO_RESULT + 1], txn_writes[FK_PRIO_RESULT + 1]; /* in this window, by purpose */
 
   /* workers */
-  GQueue *held;          /* FkHeldReport: waiting for a claim */
+  GQueue *held;             /* FkHeldReport: waiting for a claim */
   guint copies, impossible; /* reports refused in this window: copies; with a token that no claim has */
-  GHashTable *redirects; /* machine -> FkRedirect */
-  GHashTable *commands;  /* call -> machine id (interned) */
+  GHashTable *redirects;    /* machine -> FkRedirect */
+  GHashTable *commands;     /* call -> machine id (interned) */
 
   GHashTable *ended;     /* attempt -> FkEnding: proven, to be written down */
   GHashTable *ending_on; /* machine (interned) -> how many of them are there */
@@ -200,8 +200,6 @@
                  GDestroyNotify free_data);
 gboolean fk_ready(FkController *c);
 guint fk_controllers(FkController *c); /* how many live */
-/* The latest moment at which nothing can have been decided that our view doesn't show. */
-FkTime fk_confirmed(FkController *c);
 gboolean fk_alive(FkController *c, const char *node);
 gboolean fk_spec_long(FkController *c, const FkSpec *s);
 /* Services wait, and the store's writes are what they wait for: what nobody waits for comes later. */
@@ -210,6 +208,30 @@
 /* Ends a job whose tasks are all done, or that is cancelled with none left, in `t`. */
 gboolean fk_txn_finalize(FkController *c, FkOut *t, FkJob *j, guint writes_left);
 
+/* Does it with its processor time charged to that purpose. */
+void fk_metered(FkController *c, FkCost what, void (*fn)(FkController *));
+/* The store has answered, or hasn't. */
+void fk_store_answered(FkController *c, FkOutcome o);
+
+/* session.c */
+void fk_session_tick(FkController *c);
+
+/* proof.c */
+#define FK_PEER_AFTER_S 2.5 /* without a look at the store, the others are asked */
+void fk_proof_tick(FkController *c);
+/* The latest moment at which nothing can have been decided that our view doesn't show. */
+FkTime fk_confirmed(FkController *c);
+
+/* users.c */
+void fk_users_ask_free(gpointer ask);
+/* Polls are checked in batches, by transactions that only compare: one batch is under way, the next gathers.
+ */
+void fk_users_verify(FkController *c);
+void fk_users_tell_waiting(FkController *c);
+/* The latest revision that somebody who waits to hear of a cancellation needs all to have applied; 0: none.
+ */
+FkRev fk_users_wait_for(FkController *c);
+
 /* claims.c */
 gboolean fk_group_mine(FkController *c, const FkGroup *g);
 const char *fk_group_preferred(FkController *c, const FkGroup *g);
