--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -191,13 +191,6 @@
 
 /* controller.c */
 FkOut *fk_out(FkController *c, FkOutKind kind);
-FkOut *fk_txn_new(FkController *c, FkPrio prio);
-void fk_txn_guard(FkOut *t, char *path /* taken */, FkRev rev);
-void fk_txn_put(FkOut *t, char *path /* taken */, FkRecord *r /* taken */, FkRev hold);
-void fk_txn_delete(FkOut *t, char *path /* taken */);
-void fk_txn_send(FkController *c, FkOut *t, FkCommitted done, gpointer data, GDestroyNotify free_data);
-void fk_get_send(FkController *c, char *path /* taken */, FkGot done, gpointer data,
-                 GDestroyNotify free_data);
 gboolean fk_ready(FkController *c);
 guint fk_controllers(FkController *c); /* how many live */
 gboolean fk_alive(FkController *c, const char *node);
@@ -213,6 +206,15 @@
 /* The store has answered, or hasn't. */
 void fk_store_answered(FkController *c, FkOutcome o);
 
+/* calls.c */
+void fk_call_free(gpointer call);
+FkOut *fk_txn_new(FkController *c, FkPrio prio);
+void fk_txn_guard(FkOut *t, char *path /* taken */, FkRev rev);
+void fk_txn_put(FkOut *t, char *path /* taken */, FkRecord *r /* taken */, FkRev hold);
+void fk_txn_delete(FkOut *t, char *path /* taken */);
+void fk_txn_send(FkController *c, FkOut *t, FkCommitted done, gpointer data, GDestroyNotify free_data);
+void fk_get_send(FkController *c, char *path /* taken */, FkGot done, gpointer data,
+                 GDestroyNotify free_data);
 /* session.c */
 void fk_session_tick(FkController *c);
 
