An answer stops first what is to stop; a home with an old view gives nothing to a machine without a token

An answer's orders are bounded (200), and what had ended came first, so that it could renew the lease of a cancelled task without its stop. A machine that begins anew forgets the token that fenced an earlier home; one that still trusts an old view could start there what its view has booked.

--- a/src/core/home.c
+++ b/src/core/home.c
@@ -51,6 +51,9 @@
   return m->home && m->home->evidence.shown.n && m->home->evidence.shown.n == m->group->rev.n;
 }
 
+/* It may lack a claim. */
+static gboolean view_old(FkController *c) { return fk_time_between(fk_confirmed(c), c->now) >= STALE_S; }
+
 static FkTaskReport *report_find(const FkReport *r, const char *job, guint32 task, FkAttempt attempt) {
   for (guint i = 0; r && i < r->tasks->len; i++) {
     FkTaskReport *t = r->tasks->pdata[i];
@@ -90,27 +93,32 @@
   FkHome *h = m->home;
   GPtrArray *orders = g_ptr_array_new_with_free_func(order_free);
   h->lingering = 0;
+  /* Stops first: an answer renews the lease of all that it doesn't stop, and an answer's length is bounded.
+   */
   for (guint i = 0; i < h->report->tasks->len && orders->len < MAX_ORDERS; i++) {
     FkTaskReport *t = h->report->tasks->pdata[i];
+    if (t->state == FK_TASK_EXITED)
+      continue;
     FkBookRef *b = book_find(m, t->job, t->task, t->attempt);
-    if (t->state == FK_TASK_EXITED) {
-      /* An attempt whose start may still arrive, or arrive again, must not be forgotten: it would run again.
-       */
-      g_autofree char *key = fk_attempt_key(t->job, t->task, t->attempt);
-      if (b)
-        continue;
-      if (g_hash_table_contains(h->unsure, key) || g_hash_table_contains(h->sending, key) ||
-          g_hash_table_contains(h->offered, key))
-        h->lingering++;
-      else
-        g_ptr_array_add(orders, order_new(FK_ORDER_FORGET, t->job, t->task, t->attempt, 0));
-    } else if (!b || b->job->cancelled) {
+    if (!b || b->job->cancelled) {
       g_ptr_array_add(orders, order_new(FK_ORDER_STOP, t->job, t->task, t->attempt, 0));
     } else if (b->stop && t->state != FK_TASK_SAVING) {
       double grace = b->job->spec->checkpoint_s > 0 ? b->job->spec->save_s + 1 : 0;
       g_ptr_array_add(orders, order_new(FK_ORDER_STOP, t->job, t->task, t->attempt, grace));
     }
   }
+  for (guint i = 0; i < h->report->tasks->len && orders->len < MAX_ORDERS; i++) {
+    FkTaskReport *t = h->report->tasks->pdata[i];
+    if (t->state != FK_TASK_EXITED || book_find(m, t->job, t->task, t->attempt))
+      continue;
+    /* An attempt whose start may still arrive, or arrive again, must not be forgotten: it would run again. */
+    g_autofree char *key = fk_attempt_key(t->job, t->task, t->attempt);
+    if (g_hash_table_contains(h->unsure, key) || g_hash_table_contains(h->sending, key) ||
+        g_hash_table_contains(h->offered, key))
+      h->lingering++;
+    else
+      g_ptr_array_add(orders, order_new(FK_ORDER_FORGET, t->job, t->task, t->attempt, 0));
+  }
   for (guint i = 0; i < m->books->len && orders->len < MAX_ORDERS; i++) {
     FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
     if (!leaving(b) && !report_find(h->report, b->job->spec->id, b->task, b->attempt) && !fk_ending(c, m, b))
@@ -132,7 +140,8 @@
 static void command(FkController *c, FkMachine *m, gboolean probe) {
   FkHome *h = m->home;
   h->settled = FALSE;
-  if (h->command || !(m->rec || h->report) || !fk_time_reached(c->now, h->command_after) || !current(c))
+  if (h->command || !(m->rec || h->report) || !fk_time_reached(c->now, h->command_after) || !current(c) ||
+      (view_old(c) && !fk_home_heard(m)))
     return;
   GPtrArray *orders;
   if (h->report) {
@@ -346,7 +355,7 @@
  * away in vain. While the view is fresh a token that it lacks is no claim's, and counts for nothing but its
  * own machine. */
 static void note_token(FkController *c, FkGroup *g, FkToken token) {
-  if (fk_time_between(fk_confirmed(c), c->now) < STALE_S) {
+  if (!view_old(c)) {
     g->later.n = 0;
     return;
   }
@@ -490,9 +499,16 @@
     refresh_claim(c, m);
   FkHome *h = m->home;
   note_token(c, g, report->token);
+  if (!report->token.n && view_old(c)) {
+    /* It has seen no token, so a later home's, that would keep our answer out, may be forgotten: a machine
+     * that has begun anew. Who has seen one has had it from a home that knew its claim to stand. */
+    reply(c, r, 503);
+    fk_report_free(report);
+    return;
+  }
   if (MAX(report->token.n, g->later.n) > g->rev.n) {
     /* a later claim than ours has been seen; with a fresh view there can be none */
-    c->impossible += !g->later.n && fk_time_between(fk_confirmed(c), c->now) < STALE_S;
+    c->impossible += !g->later.n && !view_old(c);
     reply(c, r, 421);
     fk_report_free(report);
     return;
