A transaction without an answer is sent again, the very same

Now after four times the usual answer's time and 0.4 s at the least, 80 ms only while a tenth got lost lately. Conclusion: as safe as a repeat by the network (docs/design.md, Asked again); what is lost costs tenths of a second.

--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -1,6 +1,19 @@
-/* Calls to the store, and what waits for their answers. */
+/* Calls to the store, and what waits for their answers.
+ *
+ * A transaction that gets no answer is sent again, the very same, a few times as late as answers usually
+ * come: what got lost, or is carried out in ten seconds' time, must not keep a user, or all of a home's
+ * launches, waiting for the deadline. That is as safe as the network's own repeats (docs/design.md, "Asked
+ * again"): its guards let it be carried out once at the most. */
 #include "core/internal.h"
 
+#define AGAIN_TIMES 4.0    /* as late as answers usually come ... */
+#define AGAIN_LEAST_S 0.08 /* ... but not sooner than that, */
+#define AGAIN_MOST_S 1.0   /* nor later; each time twice as late */
+#define PATIENT_S 0.4      /* while hardly any gets lost: some answers are slow, and each send is a write */
+#define LOSSY 0.1          /* of the transactions had to be sent again */
+#define SENDS_MAX 4
+#define USUAL_S 0.02 /* an answer's time, before any has come */
+#define NEWEST 0.1   /* the newest one's weight in what is usual */
 #define OUTAGE_S 3.0 /* the store is asked all the time: no answer for so long is an outage */
 
 typedef struct {
@@ -8,15 +21,53 @@
   FkGot got;
   gpointer data;
   GDestroyNotify free_data;
+  FkOut *out;  /* the transaction */
+  FkTime sent; /* when it went out last; 0: it waits for the budget */
+  guint sends; /* times that it was sent, or waits to be */
+  guint open;  /* of those, the ones of which it isn't known that they were refused */
 } Call;
 
 void fk_call_free(gpointer p) {
   Call *call = p;
   if (call->free_data)
     call->free_data(call->data);
+  fk_out_free(call->out);
   g_free(call);
 }
 
+void fk_controller_sent(FkController *c, FkTime now, guint64 id) {
+  Call *call = g_hash_table_lookup(c->commits, &id);
+  if (call)
+    call->sent = now;
+}
+
+static double again_after_s(const FkController *c, const Call *call) {
+  double usual = c->usual_s > 0 ? c->usual_s : USUAL_S;
+  double least = c->lost > LOSSY ? AGAIN_LEAST_S : PATIENT_S;
+  return CLAMP(AGAIN_TIMES * usual, least, AGAIN_MOST_S) * (1 << (call->sends - 1));
+}
+
+void fk_calls_again(FkController *c) {
+  GHashTableIter it;
+  gpointer p;
+  double room = c->write_room;
+  g_hash_table_iter_init(&it, c->commits);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    Call *call = p;
+    if (!call->sent.us || call->sends >= SENDS_MAX ||
+        fk_time_between(call->sent, c->now) < again_after_s(c, call))
+      continue;
+    guint writes = call->out->writes->len;
+    if (call->out->prio > FK_PRIO_USER && writes > room)
+      continue; /* what is over the budget would only keep others waiting */
+    room -= writes;
+    call->sent.us = 0;
+    call->sends++;
+    call->open++;
+    g_queue_push_tail(c->outs, fk_out_ref(call->out));
+  }
+}
+
 FkOut *fk_txn_new(FkController *c, FkPrio prio) {
   FkOut *t = g_new0(FkOut, 1);
   t->kind = FK_OUT_COMMIT;
@@ -51,6 +102,8 @@
   call->committed = done;
   call->data = data;
   call->free_data = free_data;
+  call->out = fk_out_ref(t);
+  call->sends = call->open = 1;
   t->call = ++c->next_call;
   c->txns[t->prio]++;
   c->txn_writes[t->prio] += t->writes->len;
@@ -91,9 +144,17 @@
   fk_store_answered(c, o);
   if (o == FK_OK && epoch.n > c->seen.n)
     c->seen = epoch;
-  Call *call = take_call(c->commits, id);
+  Call *call = g_hash_table_lookup(c->commits, &id);
   if (!call)
     return;
+  if ((o == FK_REFUSED || o == FK_INVALID) && --call->open)
+    return; /* another of its sends may yet be carried out */
+  if ((o == FK_OK || o == FK_CONFLICT) && call->sent.us) {
+    c->usual_s += NEWEST * (fk_time_between(call->sent, now) - c->usual_s);
+    c->lost += NEWEST * ((call->sends > 1) - c->lost);
+    c->asked_again += call->sends > 1;
+  }
+  call = take_call(c->commits, id);
   call->committed(c, call->data, o, epoch, failed);
   fk_call_free(call);
 }
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -50,8 +50,13 @@
   g_free(l);
 }
 
+FkOut *fk_out_ref(FkOut *o) {
+  o->shared++;
+  return o;
+}
+
 void fk_out_free(FkOut *o) {
-  if (!o)
+  if (!o || o->shared--)
     return;
   g_free(o->job);
   if (o->orders)
@@ -270,6 +275,7 @@
   c->now = now;
   c->view->wall_offset_us = wall_us - now.us;
   fk_session_tick(c);
+  fk_calls_again(c);
   if (!c->types_pending && fk_time_reached(now, c->types_next)) {
     fk_out(c, FK_OUT_TYPES);
     c->types_pending = TRUE;
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -120,10 +120,12 @@
   GPtrArray *names;
   FkRev rev;
   double seconds, delay_s;
-  guint tries; /* the shell's: times refused for want of budget */
+  guint tries;  /* the shell's: times refused for want of budget */
+  guint shared; /* references beside the first */
 } FkOut;
 
-void fk_out_free(FkOut *o);
+FkOut *fk_out_ref(FkOut *o);
+void fk_out_free(FkOut *o); /* NULL is fine; gives one reference back */
 
 /* The outcome of a call to another process. */
 typedef enum {
@@ -165,6 +167,9 @@
 void fk_controller_renewed(FkController *c, FkTime now, FkOutcome o, FkTime sent);
 void fk_controller_committed(FkController *c, FkTime now, guint64 call, FkOutcome o, FkRev epoch,
                              GPtrArray *failed);
+/* A transaction went out: its answer is waited for from now on, not from when it joined the budget's queue.
+ */
+void fk_controller_sent(FkController *c, FkTime now, guint64 call);
 void fk_controller_got(FkController *c, FkTime now, guint64 call, FkOutcome o, FkEvent *e);
 void fk_controller_commanded(FkController *c, FkTime now, guint64 call, FkOutcome o,
                              FkReport *report /* taken */);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -85,6 +85,9 @@
   FkMeter meter;
   GQueue *outs;
   guint64 next_call;
+  double usual_s;      /* how late the store usually answers a transaction; 0: none has been */
+  double lost;         /* part of the transactions that had to be sent again, lately */
+  guint asked_again;   /* answered after more than one send, in this window */
   GHashTable *commits; /* call -> callback */
   GHashTable *gets;
 
@@ -208,6 +211,8 @@
 
 /* calls.c */
 void fk_call_free(gpointer call);
+/* Sends again what has had no answer for too long. */
+void fk_calls_again(FkController *c);
 FkOut *fk_txn_new(FkController *c, FkPrio prio);
 void fk_txn_guard(FkOut *t, char *path /* taken */, FkRev rev);
 void fk_txn_put(FkOut *t, char *path /* taken */, FkRecord *r /* taken */, FkRev hold);
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -196,9 +196,10 @@
          c->launch_failures, g_hash_table_size(c->ended));
   c->launches = c->launch_conflicts = c->launch_failures = 0;
   g_info("store, transactions and writes: holds %u/%u, users %u/%u, claims %u/%u, launches and pages %u/%u, "
-         "ends %u/%u",
+         "ends %u/%u; asked again %u, answers usually take %.0f ms",
          c->txns[0], c->txn_writes[0], c->txns[1], c->txn_writes[1], c->txns[2], c->txn_writes[2], c->txns[3],
-         c->txn_writes[3], c->txns[4], c->txn_writes[4]);
+         c->txn_writes[3], c->txns[4], c->txn_writes[4], c->asked_again, 1e3 * c->usual_s);
+  c->asked_again = 0;
   memset(c->txns, 0, sizeof c->txns);
   memset(c->txn_writes, 0, sizeof c->txn_writes);
   log_cost(c);
--- a/src/core/session.c
+++ b/src/core/session.c
@@ -119,6 +119,7 @@
   if (c->sync == FK_SYNC_CATCHING_UP && c->view->applied.n >= c->catch_up.n)
     became_ready(c);
   fk_users_tell_waiting(c);
+  fk_calls_again(c);
   /* A short pause lets several changes come in one answer: the watch's share of the request budget stays
    * small. */
   watch_next(c, events->len ? MAX(0.02, fk_controllers(c) / (WATCH_SHARE * c->settings->state_rps)) : 0);
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -222,6 +222,7 @@
   switch (o->kind) {
   case FK_OUT_COMMIT:
     path = g_strdup("/commit");
+    fk_controller_sent(s->core, now(), o->call);
     body = print_commit(s, o);
     break;
   case FK_OUT_GET:
--- a/test/test_unlisted.c
+++ b/test/test_unlisted.c
@@ -329,6 +329,169 @@
   }
 }
 
+/* A home whose view is old, and a machine that has begun anew: the token of a later home, which would keep
+ * the old one's answers out, is forgotten with all else. It is given nothing: what the old view has booked
+ * there may have ended, and run elsewhere. Who has seen a token, or ours, is answered. */
+static void test_old_view_begins_anew(void) {
+  static const struct {
+    gboolean old;
+    guint64 token; /* 0, or 1: an earlier one, or 2: ours */
+    int status;
+  } cases[] = {{TRUE, 0, 503}, {TRUE, 1, 200}, {TRUE, 2, 200}, {FALSE, 0, 200}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(TRUE);
+    book(r);
+    if (cases[i].old)
+      tick(r, 5);
+    forget_outs(r);
+    FkReport *rep = i_1(r, 1, 1);
+    rep->token.n = cases[i].token == 2 ? claim_rev(r) : cases[i].token;
+    says_now(r, rep);
+    g_assert_cmpint(latest(r, FK_OUT_REPLY)->status, ==, cases[i].status);
+    g_assert_cmpuint(starts(latest(r, FK_OUT_REPLY)), ==, cases[i].status == 200);
+    rig_free(r);
+  }
+  /* it had shown our token, and is asked, since its reports look like copies */
+  for (guint old = 0; old < 2; old++) {
+    Rig *r = rig_new(TRUE);
+    says_now(r, i_1(r, 1, 40));
+    book(r);
+    answered(r, FK_OK, with_task(i_1(r, 1, 41), FK_TASK_RUNNING, FK_WHY_NONE));
+    tick(r, old ? 5 : 1.5);
+    forget_outs(r);
+    FkReport *fresh = i_1(r, 1, 1);
+    fresh->token.n = 0;
+    says_now(r, fresh);
+    if (latest(r, FK_OUT_COMMANDS))
+      answered(r, FK_OK, i_1(r, 1, 2));
+    for (guint k = 0; k < r->outs->len; k++)
+      g_assert_cmpuint(starts(r->outs->pdata[k]), ==, old ? 0 : 1);
+    rig_free(r);
+  }
+}
+
+/* A machine with hundreds of ended attempts in its reports and one task of a cancelled job: the answer, which
+ * renews the lease of all that it doesn't stop, stops that one, whatever else there is to say. */
+static void test_stops_first(void) {
+  Rig *r = rig_new(TRUE);
+  book(r);
+  FkReport *rep = i_1(r, 1, 1);
+  for (guint k = 0; k < 300; k++) {
+    FkTaskReport *t = g_new0(FkTaskReport, 1);
+    *t = (FkTaskReport){g_strdup("run-9"), k, {1}, FK_TASK_EXITED, FK_WHY_DONE};
+    g_ptr_array_add(rep->tasks, t);
+  }
+  with_task(rep, FK_TASK_RUNNING, FK_WHY_NONE);
+  g_autofree char *cancelled = g_strdup(SPEC);
+  cancelled[strlen(cancelled) - 1] = 0;
+  g_autofree char *record = g_strconcat(cancelled, ",\"cancelled\":true}", NULL);
+  watched(r, (const char *const[]){"fk/l/j/run-1", record, NULL});
+  g_assert_true(fk_view_job(fk_controller_view(r->c), "run-1")->cancelled);
+  forget_outs(r);
+  says_now(r, rep);
+  g_assert_cmpuint(orders_of(latest(r, FK_OUT_REPLY), FK_ORDER_STOP), ==, 1);
+  g_assert_cmpuint(orders_of(latest(r, FK_OUT_REPLY), FK_ORDER_FORGET), >, 100);
+  rig_free(r);
+}
+
+/* Transactions that were sent, by their call, since the outs were forgotten. */
+static guint sends_of(Rig *r, guint64 call) {
+  guint n = 0;
+  for (guint i = 0; i < r->outs->len; i++) {
+    const FkOut *o = r->outs->pdata[i];
+    n += o->kind == FK_OUT_COMMIT && o->call == call;
+  }
+  return n;
+}
+
+/* No answer: the same transaction is sent again, a few times, later each time, and not before it was sent at
+ * all. One send that was refused says nothing of the others; the first answer counts, and only that. A user
+ * waited for 2 s, and so did all launches, for each one that got lost (day meet-late: 0.68 of the submissions
+ * in time). */
+static void test_asked_again(void) {
+  static const struct {
+    gboolean sent;
+    FkOutcome first, second; /* FK_UNKNOWN: none comes */
+    int status;              /* 0: the user still waits */
+    guint most;              /* sends */
+  } cases[] = {{FALSE, FK_UNKNOWN, FK_UNKNOWN, 0, 1}, {TRUE, FK_UNKNOWN, FK_UNKNOWN, 0, 4},
+               {TRUE, FK_UNKNOWN, FK_OK, 201, 4},     {TRUE, FK_REFUSED, FK_UNKNOWN, 0, 4},
+               {TRUE, FK_REFUSED, FK_OK, 201, 4},     {TRUE, FK_REFUSED, FK_REFUSED, 503, 4}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = rig_new(TRUE);
+    forget_outs(r);
+    FkSpec *spec = fk_spec_new();
+    spec->id = g_strdup("run-77");
+    spec->team = g_strdup("red");
+    spec->image = g_strdup("i");
+    spec->class_name = g_strdup("c");
+    spec->tasks = 1;
+    spec->cpus = spec->mem_gb = 1;
+    fk_controller_submit(r->c, r->now, (FkRequest){900}, spec);
+    pump(r);
+    FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/j/run-77");
+    g_assert_nonnull(t);
+    g_assert_true(guarded(t, "fk/l/j/run-77") && guarded(t, "fk/d/run-77"));
+    guint64 call = t->call;
+    if (cases[i].sent)
+      fk_controller_sent(r->c, r->now, call);
+    tick(r, 0.2);
+    g_assert_cmpuint(sends_of(r, call), ==, 1); /* a slow answer is no lost one */
+    tick(r, 0.4);
+    g_assert_cmpuint(sends_of(r, call), ==, cases[i].sent ? 2 : 1);
+    if (cases[i].first != FK_UNKNOWN)
+      fk_controller_committed(r->c, r->now, call, cases[i].first, (FkRev){0}, NULL);
+    if (cases[i].second != FK_UNKNOWN)
+      fk_controller_committed(r->c, r->now, call, cases[i].second, (FkRev){r->epoch + 5}, NULL);
+    pump(r);
+    const FkOut *a = latest(r, FK_OUT_ANSWER);
+    g_assert_cmpint(a ? a->status : 0, ==, cases[i].status);
+    for (guint k = 0; k < 5; k++) {
+      if (cases[i].sent)
+        fk_controller_sent(r->c, r->now, call);
+      tick(r, 2);
+    }
+    if (!cases[i].status)
+      g_assert_cmpuint(sends_of(r, call), ==, cases[i].most);
+    /* the deadline of the first ends it; nothing more is said to the user */
+    fk_controller_committed(r->c, r->now, call, FK_UNKNOWN, (FkRev){0}, NULL);
+    fk_controller_committed(r->c, r->now, call, FK_OK, (FkRev){r->epoch + 5}, NULL);
+    pump(r);
+    guint answers = 0;
+    for (guint k = 0; k < r->outs->len; k++)
+      answers += ((FkOut *)r->outs->pdata[k])->kind == FK_OUT_ANSWER;
+    g_assert_cmpuint(answers, ==, 1);
+    rig_free(r);
+  }
+}
+
+/* While many get lost, what has no answer is sent again at once; not while hardly any does, since each send
+ * is a write of the store's budget. */
+static void test_lossy(void) {
+  for (guint lossy = 0; lossy < 2; lossy++) {
+    Rig *r = rig_new(TRUE);
+    guint64 call = 0;
+    for (guint k = 0; k < 12; k++) {
+      forget_outs(r);
+      g_autofree char *id = g_strdup_printf("run-%u", 100 + k);
+      fk_controller_get(r->c, r->now, (FkRequest){100 + k}, id);
+      tick(r, 0.6); /* past the pace of the questions */
+      call = latest(r, FK_OUT_COMMIT)->call;
+      fk_controller_sent(r->c, r->now, call);
+      if (k == 11)
+        break;
+      if (lossy) {
+        tick(r, 0.6);
+        fk_controller_sent(r->c, r->now, call);
+      }
+      fk_controller_committed(r->c, r->now, call, FK_OK, (FkRev){r->epoch}, NULL);
+    }
+    tick(r, 0.2);
+    g_assert_cmpuint(sends_of(r, call), ==, 1 + lossy);
+    rig_free(r);
+  }
+}
+
 static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
   if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
     g_log_default_handler(domain, level, text, data);
@@ -347,5 +510,9 @@
   g_test_add_func("/unlisted/up", test_up);
   g_test_add_func("/unlisted/without_view", test_without_view);
   g_test_add_func("/unlisted/overdue", test_overdue);
+  g_test_add_func("/unlisted/old_view_begins_anew", test_old_view_begins_anew);
+  g_test_add_func("/unlisted/stops_first", test_stops_first);
+  g_test_add_func("/unlisted/asked_again", test_asked_again);
+  g_test_add_func("/unlisted/lossy", test_lossy);
   return g_test_run();
 }
