World: faults by plan and role, late transactions, held commands; 35 meetings and all pairs of faults

The store may refuse the leader alone, or another; transactions are carried out late, after newer ones; commands and answers are held; every transaction of every schedule is held against the table of guards (check_txn.c).

--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -49,7 +49,7 @@
   gint64 lease_base;
   GPtrArray *tasks;
   guint home;
-  guint life; /* what was sent to an earlier one belongs to connections that are gone */
+  guint life;       /* what was sent to an earlier one belongs to connections that are gone */
   guint64 inflight; /* the report under way */
   gint64 born;
 } Worker;
@@ -63,7 +63,7 @@
   char *zone;
   gboolean one_zone, spread;
   gboolean accepted, told_done, told_cancelled, asked_cancel;
-  gint64 cancelled_at, done_at, accepted_at;
+  gint64 asked_at, cancelled_at, done_at, accepted_at;
   gint64 answered_at; /* the last question about it that was answered */
   gint64 began_at;    /* its first task started; 0: not yet */
   gboolean large;
@@ -106,8 +106,11 @@
   int n;                       /* controllers */
   double tokens, write_tokens; /* the store's budgets */
   gint64 filled, slow_until, refused_until[N_MAX], peers_refuse_until;
-  const char *cut_zone; /* cut off from everything outside, */
-  gint64 cut_until;     /* until then */
+  gint64 late_writes_until, held_until, copies_until, rush_until; /* faults of the plan, ... */
+  double slow;                                                    /* times as slow as usual */
+  double late_writes, held, copies;                               /* ... and their shares */
+  const char *cut_zone;                                           /* cut off from everything outside, */
+  gint64 cut_until;                                               /* until then */
   GPtrArray *workers, *jobs, *calls, *watches;
   GHashTable *by_id, *job_by_id;
   GHashTable *requests; /* number -> Req */
@@ -203,6 +206,14 @@
  * due. */
 guint worst_class(Sim *m);
 
+/* faults.c */
+/* The plan's faults are set off at their times. */
+void faults_plan(Sim *m);
+/* For all; once it is over every hold has its full time again. */
+void outage_begins(Sim *m, double s);
+/* Chance that a message comes once more now. */
+double copies_now(const Sim *m);
+
 /* troubles.c */
 /* The growth experiment's loss: just so many machines, whatever runs there. */
 void lose_a_share(Sim *m, gpointer p);
--- a/src/lab/store.c
+++ b/src/lab/store.c
@@ -1,6 +1,7 @@
 /* The state service, after PROTOCOL. */
 #include <string.h>
 
+#include "lab/check_txn.h"
 #include "lab/sim.h"
 #include "wire/store.h"
 
@@ -63,6 +64,9 @@
 }
 
 static FkOutcome commit(Sim *m, const FkOut *o, FkRev *epoch, GPtrArray *failed) {
+  g_autofree char *unguarded = check_txn(o);
+  if (unguarded)
+    broken(m, "unguarded", unguarded);
   for (guint i = 0; i < o->guards->len; i++) {
     const FkGuard *g = &g_array_index(o->guards, FkGuard, i);
     Item *it = g_hash_table_lookup(m->store, g->path);
@@ -147,10 +151,14 @@
 /* When a copy of what was sent arrives. */
 double once_more_after(Sim *m) { return between(m, 1, 2.5 * m->s->lease_s); }
 
-/* A transaction that was carried out comes once more. */
+/* A transaction that was carried out comes once more, or one that got no answer is carried out now. */
 static void commit_repeated(Sim *m, gpointer p) {
   g_autoptr(GPtrArray) failed = g_ptr_array_new_with_free_func(g_free);
   FkRev epoch;
+  if (m->now < m->outage) { /* nothing is carried out in an outage */
+    after(m, (double)(m->outage - m->now) / 1e6 + 0.01, commit_repeated, p);
+    return;
+  }
   expire_holds(m);
   commit(m, ((Call *)p)->out, &epoch, failed);
   notify(m);
@@ -167,10 +175,14 @@
   expire_holds(m);
   switch (o->kind) {
   case FK_OUT_COMMIT: {
+    if (o->writes->len && m->now < m->late_writes_until && chance(m, m->late_writes)) {
+      after(m, between(m, 2, 12), commit_repeated, c); /* no answer, and carried out after newer ones */
+      break;
+    }
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
     FkOutcome r = commit(m, o, &epoch, failed);
     answer(c, r, epoch, failed, FALSE, NULL);
-    if (o->writes->len && chance(m, m->plan.copies))
+    if (o->writes->len && chance(m, copies_now(m)))
       after(m, once_more_after(m), commit_repeated, c);
     break;
   }
--- a/src/lab/troubles.c
+++ b/src/lab/troubles.c
@@ -110,6 +110,7 @@
     int i = g_rand_int_range(m->rand, 0, m->n);
     switch (g_rand_int_range(m->rand, 0, m->plan.more ? 10 : 7)) {
     case 7:
+      m->slow = 15;
       m->slow_until = m->now + (gint64)(between(m, 10, 60) * 1e6);
       break;
     case 8:
@@ -137,14 +138,8 @@
         m->ctl[i].cut_workers = m->now + (gint64)(between(m, 1, 50) * 1e6);
       break;
     case 4:
-      if (m->plan.outages) {
-        m->outage = m->now + (gint64)(between(m, 1, 40) * 1e6);
-        GHashTableIter it;
-        gpointer h;
-        g_hash_table_iter_init(&it, m->holds);
-        while (g_hash_table_iter_next(&it, NULL, &h))
-          ((Hold *)h)->until = m->outage + (gint64)(((Hold *)h)->ttl * 1e6);
-      }
+      if (m->plan.outages)
+        outage_begins(m, between(m, 1, 40));
       break;
     default: {
       if (!m->workers->len)
--- a/src/lab/users.c
+++ b/src/lab/users.c
@@ -90,6 +90,7 @@
     if (!j->told_cancelled) {
       g_debug("WORLD %.3f the user of %s is told that it is cancelled", m->now / 1e6, j->id);
       j->cancelled_at = m->now;
+      m->r.told_s = MAX(m->r.told_s, (double)(m->now - j->asked_at) / 1e6);
     }
     j->told_cancelled = TRUE;
   }
@@ -107,12 +108,16 @@
   else
     ask(m, j, chance(m, 0.05) ? SUBMIT : POLL);
   if (j->accepted && m->plan.cancels && !j->large && !j->told_done && !j->asked_cancel &&
-      chance(m, j->shape == FK_SHAPE_SERVICE ? 0.1 : 0.006)) {
+      chance(m, m->now < m->rush_until         ? 0.33
+                : j->shape == FK_SHAPE_SERVICE ? 0.1
+                                               : 0.006)) {
     j->asked_cancel = TRUE;
+    j->asked_at = m->now;
     ask(m, j, CANCEL);
   }
   if (j->accepted && j->faulty && !j->asked_cancel && m->now > j->accepted_at + 60000000) {
     j->asked_cancel = TRUE;
+    j->asked_at = m->now;
     ask(m, j, CANCEL);
   }
   if (chance(m, 0.02))
@@ -165,7 +170,7 @@
   j->zone = chance(m, 0.1) ? g_strdup("south") : NULL;
   j->one_zone = chance(m, 0.15);
   j->spread = !j->one_zone && !j->zone && chance(m, 0.1);
-  j->run_s = between(m, 1, 15);
+  j->run_s = m->plan.run_s > 0 ? m->plan.run_s : between(m, 1, 15);
   j->rank = j->shape == FK_SHAPE_SERVICE ? FK_RANK_HIGH : FK_RANK_NORMAL;
   j->class_name = j->shape == FK_SHAPE_SERVICE ? "live" : j->shape == FK_SHAPE_GANG ? "gangs" : "arrays";
   j->faulty = j->shape == FK_SHAPE_ARRAY && m->plan.faulty > 0 && chance(m, m->plan.faulty);
@@ -213,6 +218,7 @@
 
 static gint64 troubles_end(const Sim *m) {
   gint64 end = MAX(MAX(m->outage, m->cut_until), MAX(m->slow_until, m->peers_refuse_until));
+  end = MAX(MAX(end, m->late_writes_until), MAX(m->held_until, m->copies_until));
   for (int i = 0; i < m->n; i++)
     end = MAX(MAX(end, m->refused_until[i]), MAX(MAX(m->ctl[i].cut_state, m->ctl[i].cut_workers),
                                                  MAX(m->ctl[i].cut_peers, m->ctl[i].frozen)));
--- a/src/lab/workers.c
+++ b/src/lab/workers.c
@@ -248,12 +248,15 @@
   int ok = take_command(m, c, worker_commanded);
   if (ok < 0)
     return;
-  answer(c, ok ? FK_OK : FK_CONFLICT, (FkRev){0}, NULL, FALSE, report_of(worker_of(m, c->out->addr)));
-  if (chance(m, m->plan.copies))
+  FkReport *says = report_of(worker_of(m, c->out->addr));
+  if (m->now < m->held_until && chance(m, m->held))
+    fk_report_free(says); /* the answer is held for longer than anybody waits for it */
+  else
+    answer(c, ok ? FK_OK : FK_CONFLICT, (FkRev){0}, NULL, FALSE, says);
+  if (chance(m, copies_now(m)))
     after(m, once_more_after(m), command_repeated, c);
 }
 
-
 typedef struct {
   Worker *w;
   guint64 report;
@@ -354,7 +357,7 @@
   Req *r = g_new0(Req, 1);
   *r = (Req){0, w, {m->now}, w->inflight, w->session, NULL, 0};
   *h = (Hello){(int)w->home, c->gen, report_of(w), r};
-  for (guint copies = 3; copies && chance(m, m->plan.copies); copies--)
+  for (guint copies = 3; copies && chance(m, copies_now(m)); copies--)
     after(m, once_more_after(m), copy_arrives, report_copy(h->report));
   /* a cut may hold a report back and deliver it late */
   double d = apart(m, ctl_zone((int)w->home), w->zone) ? until_healed(m)
@@ -426,6 +429,7 @@
   w->up = TRUE;
   w->session = 1;
   w->seq = w->token = w->inflight = 0;
+  w->home = (guint)g_rand_int_range(m->rand, 0, m->n); /* it knows of nobody's claim */
   w->lease_base = m->now;
   report_sent(m, w);
 }
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -174,7 +174,6 @@
   after(m, apart(m, ctl_zone(c->ctl), w ? w->zone : NULL) ? until_healed(m) : s, answer_arrives, a);
 }
 
-
 static FkSettings *named[N_MAX];
 
 /* Controllers ask each other what they have seen of the store. */
@@ -197,7 +196,9 @@
 /* ------------------------------------------------------------------ controllers and troubles */
 
 static void to_store(Sim *m, int i, Call *c) {
-  double d = between(m, 0.001, 0.006) * (m->now < m->slow_until ? 15 : 1) + c->out->delay_s;
+  if (c->out->kind == FK_OUT_COMMIT)
+    fk_controller_sent(m->ctl[i].core, ctl_now(m, i), c->out->call);
+  double d = between(m, 0.001, 0.006) * (m->now < m->slow_until ? m->slow : 1) + c->out->delay_s;
   if (apart(m, ctl_zone(i), NULL))
     d = until_healed(m);
   else if (m->now < m->ctl[i].cut_state)
@@ -248,7 +249,8 @@
       double d = w && apart(m, ctl_zone(i), w->zone) ? until_healed(m)
                  : m->now < m->ctl[i].cut_workers    ? (m->ctl[i].cut_workers - m->now) / 1e6 + 0.01
                  : chance(m, m->plan.late)           ? between(m, 1, 30)
-                                                     : 0.002;
+                 : m->now < m->held_until && chance(m, m->held) ? between(m, 1, 15)
+                                                                : 0.002;
       after(m, d, worker_commanded, c);
       after(m, DEADLINE_S, give_up, c);
       break;
@@ -318,6 +320,8 @@
     for (guint k = 0; k < w->tasks->len; k++) {
       WTask *t = w->tasks->pdata[k];
       UJob *j = job_of(m, t->job);
+      if (t->on && j->told_cancelled)
+        m->r.gone_s = MAX(m->r.gone_s, (double)(m->now - j->cancelled_at) / 1e6);
       if (t->on && j->told_cancelled && m->now > j->cancelled_at + (gint64)(m->s->cancel_s * 1e6) &&
           !hung(m, w))
         broken(m, "ran_cancelled", t->job);
@@ -388,7 +392,10 @@
       after(m, 15, guests_come, NULL);
     if (plan->large)
       after(m, 15, large_ones_come, NULL);
-    after(m, 20, trouble, NULL);
+    if (plan->n_faults)
+      faults_plan(m);
+    else
+      after(m, 20, trouble, NULL);
   }
   while (m->now < (gint64)(plan->seconds * 1e6) && !m->r.broken && !m->over) {
     GSequenceIter *it = g_sequence_get_begin_iter(m->events);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -6,6 +6,37 @@
 
 typedef struct Sim Sim;
 
+/* A trouble of the plan, beside those that come by chance. Durations in simulated seconds; a crash, a death
+ * and a machine that begins anew have none. */
+typedef enum {
+  SIM_CRASH,        /* back after 3 s, or within a moment where the plan is `quick` */
+  SIM_FREEZE,       /* stands still while its clocks run */
+  SIM_REFUSE,       /* the store answers 503 to it alone */
+  SIM_CUT_STATE,    /* what it sends to the store is held back, and delivered late */
+  SIM_CUT_WORKERS,  /* the same with its workers */
+  SIM_ALONE,        /* store and peers are out of its reach, workers and users aren't */
+  SIM_OUTAGE,       /* of the store, for all */
+  SIM_SLOW,         /* the store answers after up to 1.5 s */
+  SIM_LATE_WRITES,  /* a part of the transactions gets no answer and is carried out 2 to 12 s later */
+  SIM_PEERS_REFUSE, /* each other's connections */
+  SIM_ZONE,         /* cut off from everything outside */
+  SIM_HANG,         /* machines, which go on later */
+  SIM_DEAF,         /* machines that are heard and hear nothing */
+  SIM_DEATH,        /* machines, and all that is on them */
+  SIM_ANEW,         /* machines that are back within a moment, with nothing */
+  SIM_HELD,         /* direct commands arrive after seconds, or their answers don't */
+  SIM_COPIES,       /* reports, commands and transactions that come once more */
+  SIM_RUSH,         /* users cancel what they have, a third each time that they act */
+  SIM_KINDS
+} SimKind;
+typedef enum { SIM_ANYBODY, SIM_LEADER, SIM_OTHERS, SIM_ALL } SimWho; /* of the controllers */
+typedef struct {
+  double at_s, for_s;
+  SimKind kind;
+  SimWho who;   /* SIM_OTHERS: one that doesn't lead */
+  double share; /* of the machines or messages; 0: a third */
+} SimFault;
+
 typedef struct {
   guint64 seed;
   double seconds;
@@ -26,12 +57,15 @@
                         one with   a guarantee alone and one with a limit alone with an array each */
   gboolean
       deaf; /* machines that are heard and hear nothing: one, or a tenth of all, for seconds to minutes */
-  double copies;   /* chance that a report, a command or a transaction that was carried out comes once more,
-                      a second to two and a half leases later; reports at any controller */
-  gboolean alone;  /* a controller loses the store and the other controllers, but not its workers */
-  gboolean quick;  /* what ends is back after 0.05 to 0.5 s, sometimes to end again at once; machines too,
-                      with session, report and token starting anew */
-  gboolean large;  /* one job of each kind that is hard to place, under a stream of small ones */
+  double copies;  /* chance that a report, a command or a transaction that was carried out comes once more,
+                     a second to two and a half leases later; reports at any controller */
+  gboolean alone; /* a controller loses the store and the other controllers, but not its workers */
+  gboolean quick; /* what ends is back after 0.05 to 0.5 s, sometimes to end again at once; machines too,
+                     with session, report and token starting anew */
+  gboolean large; /* one job of each kind that is hard to place, under a stream of small ones */
+  const SimFault *faults; /* by the plan alone; nothing else goes wrong by itself */
+  guint n_faults;
+  double run_s;    /* tasks run for 0.5 to 1.5 times this; 0: 1 to 15 s */
   gboolean clocks; /* the steady clocks are off by all that PROTOCOL allows, in turn */
   /* The growth experiment: nothing but so many services of one task, all up when a share of the machines is
    * lost at once. */
@@ -60,6 +94,8 @@
   guint sick;        /* healthy machines that were returned though nothing else was wrong with them */
   guint requests, writes, refused; /* at the store */
   guint lapsed;                    /* leases that ran out with tasks on the machine */
+  double told_s;                   /* the longest from asking for a cancellation to being told */
+  double gone_s;                   /* ... from then until its last task was gone */
   double silence_s; /* the longest without an answer about a job, once all troubles were over */
   double begin_s;   /* the longest that a job waited for its first task, from its acceptance or the end of the
                        troubles on */
--- /dev/null
+++ b/test/test_meetings.c
@@ -0,0 +1,346 @@
+/* Two troubles that meet: first the meetings that docs/meetings.md has by name, then every fault with every
+ * other at seeded offsets, at three and five controllers. The world's checkers know nothing of the core: they
+ * count from what a user was told, and look at what is on the machines. */
+#include <string.h>
+
+#include "lab/world.h"
+#include "wire/settings.h"
+
+#define FAULTS_MAX 12
+
+typedef struct {
+  const char *name;
+  guint64 seeds;
+  SimFault faults[FAULTS_MAX]; /* up to the first without a duration or time */
+  double run_s;                /* 0: tasks of 1 to 15 s */
+  double seconds;              /* 0: 300 */
+  gboolean quick, clocks;
+} Meeting;
+
+/* The lease is 20 s, a cancellation has 40 s, homes trust their view for 58 s, and a cancellation is told
+ * after 40 s at the latest: the outage is longer than all of them. */
+#define GAP(before, refused, out)                                                                            \
+  {60, refused, SIM_REFUSE, SIM_LEADER}, {60 - before, before + 1.5, SIM_RUSH}, { 61.5, out, SIM_OUTAGE }
+#define LONG .run_s = 60
+
+static const Meeting meetings[] = {
+    /* cancelled before the refusal shows, during it, in the last instants before the outage; asked by
+       everybody for as long as the outage lasts */
+    {"gap", 8, {GAP(1, 14, 90)}, LONG},
+    {"gap_late", 4, {{60, 14, SIM_REFUSE, SIM_LEADER}, {61, 0.5, SIM_RUSH}, {61.5, 90, SIM_OUTAGE}}, LONG},
+    {"gap_long",
+     4,
+     {{50, 40, SIM_REFUSE, SIM_LEADER}, {50, 25, SIM_RUSH}, {75, 90, SIM_OUTAGE}},
+     LONG,
+     .seconds = 340},
+    /* ... twice in a row, the pause shorter than a lease */
+    {"gap_twice",
+     4,
+     {GAP(1, 14, 60), {130, 14, SIM_REFUSE, SIM_LEADER}, {129, 3, SIM_RUSH}, {132, 60, SIM_OUTAGE}},
+     LONG,
+     .seconds = 340},
+    /* ... another is refused as well, has seen nothing, and vouches for the old leader: one isn't enough */
+    {"gap_two_refused", 4, {GAP(1, 14, 90), {59.5, 14, SIM_REFUSE, SIM_OTHERS}}, LONG},
+    /* ... those who told end while the outage lasts: their next lives know of nothing, and vouch for nothing
+     */
+    {"gap_forgotten",
+     4,
+     {GAP(1, 14, 125),
+      {104, 0, SIM_CRASH, SIM_OTHERS},
+      {104.2, 0, SIM_CRASH, SIM_OTHERS},
+      {104.4, 0, SIM_CRASH, SIM_OTHERS},
+      {104.6, 0, SIM_CRASH, SIM_OTHERS},
+      {104.8, 0, SIM_CRASH, SIM_OTHERS}},
+     LONG,
+     .seconds = 360},
+    /* ... who told ends, stands still, or is back within a moment; all of them */
+    {"gap_crash", 4, {GAP(1, 14, 90), {64, 0, SIM_CRASH, SIM_OTHERS}, {80, 0, SIM_CRASH, SIM_OTHERS}}, LONG},
+    {"gap_quick",
+     4,
+     {GAP(1, 14, 90), {61.7, 0, SIM_CRASH, SIM_OTHERS}, {95, 0, SIM_CRASH, SIM_OTHERS}},
+     LONG,
+     .quick = TRUE},
+    {"gap_freeze", 4, {GAP(1, 14, 90), {62, 30, SIM_FREEZE, SIM_OTHERS}}, LONG},
+    /* ... the old leader stands still and goes on */
+    {"gap_leader_freeze", 4, {GAP(1, 14, 90), {63, 50, SIM_FREEZE, SIM_LEADER}}, LONG},
+    {"gap_leader_freeze_early",
+     4,
+     {GAP(1, 14, 90), {60.5, 25, SIM_FREEZE, SIM_LEADER}, {100, 25, SIM_FREEZE, SIM_LEADER}},
+     LONG},
+    /* ... peers don't hear each other */
+    {"gap_peers", 4, {GAP(1, 14, 90), {60, 95, SIM_PEERS_REFUSE}}, LONG},
+    {"gap_peers_late", 4, {GAP(1, 14, 90), {75, 30, SIM_PEERS_REFUSE}}, LONG},
+    /* ... the refusal is a cut, its messages held back; the leader is alone with its workers */
+    {"gap_cut", 4, {{60, 30, SIM_CUT_STATE, SIM_LEADER}, {59, 2.5, SIM_RUSH}, {61.5, 90, SIM_OUTAGE}}, LONG},
+    {"gap_alone",
+     4,
+     {{60, 120, SIM_ALONE, SIM_LEADER}, {59, 20, SIM_RUSH}, {90, 90, SIM_OUTAGE}},
+     LONG,
+     .seconds = 340},
+    /* ... the store is slow, commits are late: who asked doesn't know whether it is cancelled */
+    {"gap_slow", 4, {GAP(1, 14, 90), {50, 12, SIM_SLOW}}, LONG},
+    {"gap_late_writes", 4, {GAP(1, 14, 90), {55, 6.5, SIM_LATE_WRITES, .share = 0.5}}, LONG},
+    /* ... the clocks at their bound; machines that hang, are deaf, begin anew */
+    {"gap_clocks", 4, {GAP(1, 14, 90)}, LONG, .clocks = TRUE},
+    {"gap_hang", 4, {GAP(1, 14, 90), {58, 18, SIM_HANG, .share = 0.5}}, LONG},
+    {"gap_deaf", 4, {GAP(1, 14, 90), {58, 40, SIM_DEAF, .share = 0.5}}, LONG},
+    {"gap_anew", 4, {GAP(1, 14, 90), {70, 0, SIM_ANEW, .share = 0.5}, {90, 0, SIM_ANEW, .share = 0.5}}, LONG},
+    {"gap_held", 4, {GAP(1, 14, 90), {55, 60, SIM_HELD, .share = 0.5}}, LONG},
+    {"gap_copies", 4, {GAP(1, 14, 90), {40, 100, SIM_COPIES, .share = 0.3}}, LONG},
+    /* ... groups are claimed just before the refusal, and their workers hear of it late */
+    {"gap_claimed",
+     4,
+     {{52, 0, SIM_CRASH, SIM_OTHERS}, {58, 60, SIM_CUT_WORKERS, SIM_OTHERS}, GAP(1, 14, 90)},
+     LONG},
+    /* jobs of two or three tasks that end far apart, under one leader after another: by ends, by refusals */
+    {"far_ends",
+     4,
+     {{45, 100, SIM_LATE_WRITES, .share = 0.3},
+      {50, 0, SIM_CRASH, SIM_LEADER},
+      {70, 0, SIM_CRASH, SIM_LEADER},
+      {90, 0, SIM_CRASH, SIM_LEADER},
+      {110, 0, SIM_CRASH, SIM_LEADER},
+      {130, 0, SIM_CRASH, SIM_LEADER}},
+     .run_s = 70},
+    {"far_ends_refused",
+     4,
+     {{50, 15, SIM_REFUSE, SIM_LEADER},
+      {70, 15, SIM_REFUSE, SIM_LEADER},
+      {90, 25, SIM_CUT_STATE, SIM_LEADER},
+      {120, 15, SIM_FREEZE, SIM_LEADER},
+      {60, 90, SIM_COPIES}},
+     .run_s = 70},
+    /* handed over and back, all end, one or more return, within a second: twice */
+    {"hand_back",
+     4,
+     {{60, 8, SIM_REFUSE, SIM_LEADER},
+      {69, 8, SIM_REFUSE, SIM_LEADER},
+      {76, 0, SIM_CRASH, SIM_ALL},
+      {76.4, 0, SIM_CRASH, SIM_ANYBODY},
+      {76.8, 0, SIM_CRASH, SIM_ANYBODY},
+      {100, 8, SIM_REFUSE, SIM_LEADER},
+      {105, 0, SIM_CRASH, SIM_ALL},
+      {105.3, 0, SIM_CRASH, SIM_ALL},
+      {95, 30, SIM_RUSH}},
+     .quick = TRUE},
+    /* old reports after newer ones: of earlier sessions, attempts, homes, lives */
+    {"old_reports",
+     4,
+     {{40, 120, SIM_COPIES, .share = 0.5},
+      {60, 0, SIM_CRASH, SIM_LEADER},
+      {75, 18, SIM_HANG, .share = 0.5},
+      {80, 30, SIM_CUT_WORKERS, SIM_OTHERS},
+      {90, 0, SIM_ANEW},
+      {105, 0, SIM_CRASH, SIM_ALL},
+      {110, 25, SIM_DEAF},
+      {85, 30, SIM_RUSH}},
+     .quick = TRUE},
+    /* the leader has neither store nor peers, but workers and users; jobs are cancelled through the next one
+     */
+    {"cut_both",
+     4,
+     {{60, 70, SIM_ALONE, SIM_LEADER},
+      {70, 40, SIM_RUSH},
+      {140, 35, SIM_ALONE, SIM_LEADER},
+      {142, 20, SIM_RUSH},
+      {100, 0, SIM_CRASH, SIM_OTHERS}},
+     .run_s = 40},
+    /* transactions without an answer, carried out after newer ones of the same controller */
+    {"late_writes",
+     4,
+     {{40, 120, SIM_LATE_WRITES, .share = 0.6},
+      {60, 60, SIM_RUSH},
+      {70, 0, SIM_CRASH, SIM_LEADER},
+      {85, 0, SIM_CRASH, SIM_ALL},
+      {110, 20, SIM_REFUSE, SIM_OTHERS},
+      {120, 60, SIM_COPIES}},
+     .quick = TRUE},
+    /* a slow store, then one refused, then everybody, while users cancel and ask */
+    {"slow_store",
+     4,
+     {{50, 70, SIM_SLOW},
+      {60, 14, SIM_REFUSE, SIM_LEADER},
+      {58, 20, SIM_RUSH},
+      {75, 50, SIM_OUTAGE},
+      {140, 30, SIM_SLOW},
+      {145, 20, SIM_RUSH}},
+     LONG},
+    /* a leader ends while machines with long tasks are deaf, hang or are cut off */
+    {"leader_ends",
+     4,
+     {{50, 45, SIM_DEAF, .share = 0.4},
+      {55, 18, SIM_HANG, .share = 0.3},
+      {60, 0, SIM_CRASH, SIM_LEADER},
+      {64, 0, SIM_CRASH, SIM_LEADER},
+      {75, 20, SIM_RUSH},
+      {100, 30, SIM_ZONE},
+      {104, 0, SIM_CRASH, SIM_LEADER}},
+     LONG},
+    /* commands and their answers are held for seconds across sessions, claims, hangs and the jobs' ends */
+    {"held",
+     4,
+     {{40, 120, SIM_HELD, .share = 0.7},
+      {60, 0, SIM_CRASH, SIM_LEADER},
+      {70, 18, SIM_HANG, .share = 0.5},
+      {80, 30, SIM_RUSH},
+      {95, 25, SIM_CUT_WORKERS, SIM_ANYBODY},
+      {115, 0, SIM_ANEW}}},
+    /* a controller has lost store and peers, and another its groups to the others; machines begin anew, have
+       seen no token, and come to the old one first */
+    {"alone_anew",
+     4,
+     {{50, 100, SIM_ALONE, SIM_LEADER},
+      {70, 0, SIM_ANEW, .share = 0.7},
+      {82, 0, SIM_ANEW, .share = 0.7},
+      {94, 0, SIM_ANEW, .share = 0.7},
+      {106, 0, SIM_ANEW, .share = 0.7},
+      {118, 0, SIM_ANEW, .share = 0.7},
+      {75, 20, SIM_RUSH}}},
+    /* ... it had lost its workers as well, and has heard of no later token when they are back */
+    {"back_anew",
+     4,
+     {{50, 100, SIM_ALONE, SIM_LEADER},
+      {50, 25, SIM_CUT_WORKERS, SIM_LEADER},
+      {75.2, 0, SIM_ANEW, .share = 0.7},
+      {79, 0, SIM_ANEW, .share = 0.7},
+      {83, 0, SIM_ANEW, .share = 0.7},
+      {88, 0, SIM_ANEW, .share = 0.7},
+      {95, 0, SIM_ANEW, .share = 0.7},
+      {65, 20, SIM_RUSH}},
+     .run_s = 20},
+};
+
+static FkSettings *settings(void) {
+  g_autofree char *text = NULL;
+  gsize len;
+  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
+  FkSettings *s = fk_settings_parse(text, len, NULL);
+  g_assert_nonnull(s);
+  for (guint i = 0; i < s->teams->len; i++) {
+    ((FkTeam *)s->teams->pdata[i])->cpus *= 20;
+    ((FkTeam *)s->teams->pdata[i])->cpus_max *= 20;
+  }
+  return s;
+}
+
+static guint64 env(const char *name, guint64 otherwise) {
+  const char *v = g_getenv(name);
+  return v ? g_ascii_strtoull(v, NULL, 10) : otherwise;
+}
+
+static SimResult play(const Meeting *mt, const SimFault *faults, guint n, guint64 seed, guint controllers) {
+  g_autoptr(FkSettings) s = settings();
+  SimPlan plan = {.seed = seed,
+                  .seconds = mt->seconds > 0 ? mt->seconds : 300,
+                  .cancels = TRUE,
+                  .late = 0.01,
+                  .machines = 30,
+                  .up = 24,
+                  .scale = 2,
+                  .controllers = controllers,
+                  .faults = faults,
+                  .n_faults = n,
+                  .run_s = mt->run_s,
+                  .quick = mt->quick,
+                  .clocks = mt->clocks};
+  return sim_run(s, &plan);
+}
+
+static guint count(const SimFault *f) {
+  guint n = 0;
+  while (n < FAULTS_MAX && f[n].at_s > 0)
+    n++;
+  return n;
+}
+
+static void tell(const SimResult *r, const char *name, guint64 seed, guint n) {
+  g_test_message(
+      "%s seed %" G_GUINT64_FORMAT ", %u controllers: %u accepted, %u cancelled, %u started, longest "
+      "%.0f s without an answer, %.0f s to begin; cancellations told after %.1f s at the most, gone "
+      "%.1f s after that%s%s",
+      name, seed, n, r->accepted, r->cancelled, r->started, r->silence_s, r->begin_s, r->told_s, r->gone_s,
+      r->broken ? "; " : "", r->broken ? r->broken : "");
+}
+
+static void run_meeting(gconstpointer data) {
+  const Meeting *mt = data;
+  guint64 seeds = env("FK_SIM_SEEDS", mt->seeds), only = env("FK_SIM_ONLY", 0);
+  guint broken = 0;
+  for (guint64 k = only ? only : 1; k <= (only ? only : seeds); k++) {
+    guint n = k % 2 ? 3 : 5;
+    SimResult r = play(mt, mt->faults, count(mt->faults), k * 7919, n);
+    tell(&r, mt->name, k, n);
+    broken += r.broken != NULL;
+    /* the meeting took place */
+    g_assert_cmpuint(r.cancelled, >, 5);
+    g_assert_cmpuint(r.started, >, 10);
+    g_free(r.broken);
+  }
+  g_assert_cmpuint(broken, ==, 0);
+}
+
+/* ------------------------------------------------------------------ pairs without a list */
+
+/* A fault of the pair: when and for how long by the seed, around hold (6 s), lease, trust and cancel_s. */
+static SimFault drawn(GRand *rand, SimKind kind, double at) {
+  static const double lasts[] = {3, 7, 18, 23, 38, 45, 62};
+  double s = lasts[g_rand_int_range(rand, 0, G_N_ELEMENTS(lasts))];
+  if (kind == SIM_HANG)
+    s = MIN(s, 18);
+  return (SimFault){at, s, kind, g_rand_int_range(rand, 0, kind == SIM_CRASH || kind == SIM_FREEZE ? 4 : 3),
+                    g_rand_double_range(rand, 0.1, 0.6)};
+}
+
+static void run_pairs(gconstpointer data) {
+  guint first = GPOINTER_TO_UINT(data), broken = 0;
+  guint64 rounds = env("FK_SIM_SEEDS", 1), only = env("FK_SIM_ONLY", 0);
+  for (guint64 round = 1; round <= rounds; round++)
+    for (guint second = 0; second < SIM_KINDS; second++) {
+      guint64 seed = (round * SIM_KINDS + first) * SIM_KINDS + second;
+      if (only && seed != only)
+        continue;
+      g_autoptr(GRand) rand = g_rand_new_with_seed((guint32)seed);
+      static const double offsets[] = {-8, -2, -0.3, 0, 0.3, 2, 8, 20};
+      SimFault f[4];
+      guint n = 0;
+      double at = 60, apart = offsets[g_rand_int_range(rand, 0, G_N_ELEMENTS(offsets))];
+      f[n++] = drawn(rand, first, at);
+      f[n++] = drawn(rand, second, at + apart);
+      if (g_rand_int_range(rand, 0, 3)) /* users cancel meanwhile */
+        f[n++] =
+            (SimFault){at + g_rand_double_range(rand, -2, 10), g_rand_double_range(rand, 1, 20), SIM_RUSH};
+      if (!g_rand_int_range(rand, 0, 3)) /* and something ends in the middle of it */
+        f[n++] = drawn(rand, SIM_CRASH, at + g_rand_double_range(rand, 0, 30));
+      Meeting mt = {.name = "pair",
+                    .run_s = g_rand_int_range(rand, 0, 2) ? 60 : 0,
+                    .quick = g_rand_int_range(rand, 0, 2),
+                    .clocks = g_rand_int_range(rand, 0, 2)};
+      guint controllers = g_rand_int_range(rand, 0, 2) ? 3 : 5;
+      SimResult r = play(&mt, f, n, seed, controllers);
+      g_autofree char *name = g_strdup_printf("faults %u and %u %+.1f s", first, second, apart);
+      tell(&r, name, seed, controllers);
+      broken += r.broken != NULL;
+      g_free(r.broken);
+    }
+  g_assert_cmpuint(broken, ==, 0);
+}
+
+static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL) || g_getenv("FK_SIM_LOG"))
+    g_log_default_handler(domain, level, text, data);
+}
+
+int main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_log_set_default_handler(quiet, NULL);
+  g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
+  for (guint i = 0; i < G_N_ELEMENTS(meetings); i++) {
+    g_autofree char *path = g_strdup_printf("/meetings/%s", meetings[i].name);
+    g_test_add_data_func(path, &meetings[i], run_meeting);
+  }
+  for (guint i = 0; i < SIM_KINDS; i++) {
+    g_autofree char *path = g_strdup_printf("/pairs/%u", i);
+    g_test_add_data_func(path, GUINT_TO_POINTER(i), run_pairs);
+  }
+  return g_test_run();
+}
