--- /dev/null
+++ b/test/schedules.c
@@ -0,0 +1,16 @@
+#include "schedules.h"
+
+#include "wire/settings.h"
+
+FkSettings *schedule_settings(double limits) {
+  g_autofree char *text = NULL;
+  gsize len;
+  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
+  FkSettings *s = fk_settings_parse(text, len, NULL);
+  g_assert_nonnull(s);
+  for (guint i = 0; limits > 0 && i < s->teams->len; i++) {
+    ((FkTeam *)s->teams->pdata[i])->cpus *= limits;
+    ((FkTeam *)s->teams->pdata[i])->cpus_max *= limits;
+  }
+  return s;
+}
--- /dev/null
+++ b/test/schedules.h
@@ -0,0 +1,7 @@
+/* What the tests that play schedules share. */
+#pragma once
+#include "core/settings.h"
+
+/* The settings of test/data/good.json, the teams' guarantees and limits times `limits` (0: as they are).
+ * Owned by the caller. */
+FkSettings *schedule_settings(double limits);
--- a/test/test_meetings.c
+++ b/test/test_meetings.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "lab/world.h"
-#include "wire/settings.h"
+#include "schedules.h"
 
 #define FAULTS_MAX 12
 
@@ -210,26 +210,13 @@
      .run_s = 20},
 };
 
-static FkSettings *settings(void) {
-  g_autofree char *text = NULL;
-  gsize len;
-  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
-  FkSettings *s = fk_settings_parse(text, len, NULL);
-  g_assert_nonnull(s);
-  for (guint i = 0; i < s->teams->len; i++) {
-    ((FkTeam *)s->teams->pdata[i])->cpus *= 20;
-    ((FkTeam *)s->teams->pdata[i])->cpus_max *= 20;
-  }
-  return s;
-}
-
 static guint64 env(const char *name, guint64 otherwise) {
   const char *v = g_getenv(name);
   return v ? g_ascii_strtoull(v, NULL, 10) : otherwise;
 }
 
 static SimResult play(const Meeting *mt, const SimFault *faults, guint n, guint64 seed, guint controllers) {
-  g_autoptr(FkSettings) s = settings();
+  g_autoptr(FkSettings) s = schedule_settings(20);
   SimPlan plan = {.seed = seed,
                   .seconds = mt->seconds > 0 ? mt->seconds : 300,
                   .cancels = TRUE,
--- a/test/test_sim.c
+++ b/test/test_sim.c
@@ -3,17 +3,8 @@
 #include <string.h>
 
 #include "lab/world.h"
+#include "schedules.h"
 #include "teams/limits.h"
-#include "wire/settings.h"
-
-static FkSettings *settings(void) {
-  g_autofree char *text = NULL;
-  gsize len;
-  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
-  FkSettings *s = fk_settings_parse(text, len, NULL);
-  g_assert_nonnull(s);
-  return s;
-}
 
 typedef struct {
   const char *name;
@@ -191,11 +182,7 @@
 
 static void run_case(gconstpointer data) {
   const Case *c = data;
-  g_autoptr(FkSettings) s = settings();
-  for (guint i = 0; c->limits > 0 && i < s->teams->len; i++) {
-    ((FkTeam *)s->teams->pdata[i])->cpus *= c->limits;
-    ((FkTeam *)s->teams->pdata[i])->cpus_max *= c->limits;
-  }
+  g_autoptr(FkSettings) s = schedule_settings(c->limits);
   if (c->plan.guests) {
     static const struct {
       const char *name;
