--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -139,7 +139,7 @@
  * machine was lost, nor an outage of the store, in which nothing can start wherever there is room. After a
  * mass loss the mean would stand at minutes, and bar machines from long jobs that nothing short asks for. */
 static FkTime could_start_since(FkController *c, const FkJob *j) {
-  FkTime since = {MAX(j->submitted_us, j->lost_at.us)};
+  FkTime since = {MAX(j->could_us, j->lost_at.us)};
   return since.us > c->store_back.us ? since : c->store_back;
 }
 
@@ -176,6 +176,8 @@
 }
 
 gboolean fk_batch_book(FkController *c, FkBatch *b, FkJob *j, FkMachine *m) {
+  if (j->held || j->cancelled) /* a start needs the committed ends of all that it needs */
+    return FALSE;
   if (j->doubted && j->spec->shape != FK_SHAPE_GANG) {
     /* one task tells whether it fails everywhere */
     if (j->booked || j->tried.us == c->now.us)
@@ -199,6 +201,9 @@
         j->unstarted_hint++;
       continue;
     }
+    /* one from before the limits were known may be larger than they allow when all of it is booked */
+    if (ch && !fk_chunk_fits(ch, 1, c->settings->value_kb))
+      continue;
     if (fk_batch_full(c, b) || (!copy && fk_batch_no_more_chunks(c, b)))
       return FALSE;
     if (!copy)
@@ -223,7 +228,7 @@
     use->pend_gpus += p.gpus;
     if (j->spec->shape == FK_SHAPE_SERVICE)
       g_info("%s goes to %s (%s) %.2f s after its submission%s", j->spec->id, m->id, m->rec->type,
-             fk_time_between((FkTime){j->submitted_us}, c->now),
+             fk_time_between((FkTime){j->could_us}, c->now),
              g_hash_table_contains(m->images, j->spec->image) ? "" : ", without the image");
     if (!fk_spec_long(c, j->spec))
       count_wait(c, &b->waits, j);
--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -183,6 +183,9 @@
   FkRecord *r = fk_record_new(FK_KEY_FINAL);
   r->phase = j->cancelled ? FK_PHASE_CANCELLED : FK_PHASE_DONE;
   r->tasks = j->cancelled ? j->done : j->spec->tasks;
+  if (fk_deps_needed(c->view->deps, j->spec->id))
+    r->at_ms =
+        (c->now.us + c->view->wall_offset_us) / 1000; /* from when those that need it count their times */
   fk_txn_guard(t, fk_key(FK_KEY_JOB, j->spec->id), j->rev);
   fk_txn_put(t, fk_key(FK_KEY_FINAL, j->spec->id), r, (FkRev){0});
   fk_txn_delete(t, fk_key(FK_KEY_JOB, j->spec->id));
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -172,6 +172,8 @@
   c->verify = g_queue_new();
   c->tell = fk_tell_new();
   c->telling = g_queue_new();
+  c->settling = g_queue_new();
+  c->finals_asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   c->peer_proof = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->held = g_queue_new();
   c->fence_needed = TRUE;
@@ -204,6 +206,8 @@
   g_hash_table_unref(c->gets);
   g_queue_free(c->verify);
   g_queue_free(c->telling);
+  g_queue_free(c->settling);
+  g_hash_table_unref(c->finals_asked);
   g_hash_table_unref(c->asks);
   fk_tell_free(c->tell);
   FkHeldReport *h;
@@ -283,6 +287,8 @@
   if (!fk_ready(c))
     return;
   fk_metered(c, FK_COST_USERS, fk_users_verify);
+  fk_metered(c, FK_COST_USERS, fk_chains_tick);
+  fk_users_settle(c);
   fk_users_tell_waiting(c);
   fk_proof_tick(c);
   c->view->now = now;
--- a/src/core/displace.c
+++ b/src/core/displace.c
@@ -25,6 +25,12 @@
   return (s->checkpoint_s > 0 ? MIN(ran, s->checkpoint_s) : ran) * s->cpus;
 }
 
+/* Its chunk can be written; one that is larger than the limits allow can't, before some of it has ended. */
+static gboolean can_be_stopped(FkController *c, const FkBookRef *b) {
+  const FkChunk *ch = b->job->chunks[b->task / b->job->spec->chunk];
+  return ch && fk_chunk_fits(ch, 0, c->settings->value_kb);
+}
+
 /* What stopping it would cost, in core-seconds. */
 static double loss(FkController *c, const FkBookRef *b) {
   return fk_work_lost(c, b->job->spec, b->since) + (fk_job_waiting(b->job) ? BUSY_COST : 0);
@@ -51,7 +57,8 @@
     for (guint i = 0; i < m->books->len; i++) {
       const FkBookRef *b = &g_array_index(m->books, FkBookRef, i);
       if (b->stop || b->job->cancelled || b->job->spec->rank <= s->rank ||
-          (at_once && (!leaves_at_once(b) || b->job->spec->shape != FK_SHAPE_ARRAY)) || is_victim(victims, b))
+          (at_once && (!leaves_at_once(b) || b->job->spec->shape != FK_SHAPE_ARRAY)) ||
+          is_victim(victims, b) || !can_be_stopped(c, b))
         continue;
       double l = loss(c, b);
       if (!best || l < best_lost) {
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -431,14 +431,15 @@
 static double patience_s(FkController *c, const FkJob *j, double ready_s) {
   const FkSpec *s = j->spec;
   double run_s = fk_view_run_s(c->view, s);
-  double waited = fk_time_between((FkTime){j->submitted_us}, c->now);
+  double waited = fk_time_between((FkTime){j->could_us}, c->now);
   double within = G_MAXDOUBLE;
-  gboolean aims = s->deadline_s >= 0;
+  double due = fk_job_due_s(j);
+  gboolean aims = due >= 0;
   if (s->shape == FK_SHAPE_SERVICE)
     return 0;
   /* the tightest aim that renting can still meet */
-  if (s->deadline_s >= waited + ready_s + run_s)
-    within = s->deadline_s;
+  if (due >= waited + ready_s + run_s)
+    within = due;
   for (guint i = 0; i < c->settings->objectives->len; i++) {
     const FkObjective *o = c->settings->objectives->pdata[i];
     if (g_strcmp0(o->kind, "finished") != 0 || g_strcmp0(o->class_name, s->class_name) != 0)
@@ -457,9 +458,9 @@
 
 static int rank_order(gconstpointer a, gconstpointer b) {
   const FkJob *x = *(FkJob *const *)a, *y = *(FkJob *const *)b;
-  if (x->spec->rank != y->spec->rank)
-    return (int)x->spec->rank - (int)y->spec->rank;
-  return x->submitted_us < y->submitted_us ? -1 : 1;
+  if (x->pulled_rank != y->pulled_rank)
+    return (int)x->pulled_rank - (int)y->pulled_rank;
+  return x->could_us < y->could_us ? -1 : 1;
 }
 
 #define RATE_OVER_S 30.0
@@ -847,12 +848,13 @@
   double ran = fk_time_between(b->since, c->now);
   if (s->shape == FK_SHAPE_SERVICE)
     return ran >= SETTLED_S;
-  double waited = fk_time_between((FkTime){b->job->submitted_us}, c->now), run_s = fk_view_run_s(c->view, s),
+  double waited = fk_time_between((FkTime){b->job->could_us}, c->now), run_s = fk_view_run_s(c->view, s),
          left = MAX(0, run_s - ran);
-  gboolean aims = s->deadline_s >= 0;
-  if (aims && !stays_on_time(s->deadline_s, waited, left, run_s))
+  double due = fk_job_due_s(b->job);
+  gboolean aims = due >= 0;
+  if (aims && !stays_on_time(due, waited, left, run_s))
     return FALSE;
-  gboolean spare = aims && s->deadline_s >= waited + RUN_MOST * run_s;
+  gboolean spare = aims && due >= waited + RUN_MOST * run_s;
   for (guint i = 0; i < c->settings->objectives->len; i++) {
     const FkObjective *o = c->settings->objectives->pdata[i];
     if (g_strcmp0(o->kind, "finished") != 0 || g_strcmp0(o->class_name, s->class_name) != 0)
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -124,7 +124,10 @@
   gboolean verifying;
   guint reads; /* questions that are read from the store while there is no view */
   FkTell *tell;
-  GQueue *telling; /* FkAsk: what they ask about is cancelled, and they may not be told yet */
+  GQueue *telling;          /* FkAsk: what they ask about is cancelled, and they may not be told yet */
+  GQueue *settling;         /* FkAsk: answered once our view has reached a revision */
+  GHashTable *finals_asked; /* ids of jobs that others need, whose ends are being read */
+  FkTime pulled;
   FkTime verify_after;
 
   guint txns[FK_PRIO_RESULT + 1], txn_writes[FK_PRIO_RESULT + 1]; /* in this window, by purpose */
@@ -223,6 +226,12 @@
 /* session.c */
 void fk_session_tick(FkController *c);
 
+/* chains.c */
+/* Every controller of the settings was started last in a version that knows of jobs that need others. What
+ * such a version alone can read is written from then on only. */
+gboolean fk_chains_known(FkController *c);
+void fk_chains_tick(FkController *c);
+
 /* proof.c */
 #define FK_PEER_AFTER_S 2.5 /* without a look at the store, the others are asked */
 void fk_proof_tick(FkController *c);
@@ -235,6 +244,7 @@
  */
 void fk_users_verify(FkController *c);
 void fk_users_tell_waiting(FkController *c);
+void fk_users_settle(FkController *c);
 /* The latest revision that somebody who waits to hear of a cancellation needs all to have applied; 0: none.
  */
 FkRev fk_users_wait_for(FkController *c);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -24,6 +24,7 @@
   g_strfreev(s->types);
   g_free(s->zone);
   g_free(s->owner);
+  g_strfreev(s->needs);
   g_free(s);
 }
 
@@ -65,6 +66,17 @@
   g_free(c);
 }
 
+#define RECORD_BYTES 400 /* of a chunk's record, its bookings apart, whatever the number of tasks */
+#define BOOKING_BYTES 56
+
+gboolean fk_chunk_fits(const FkChunk *c, guint more, double value_kb) {
+  return RECORD_BYTES + (c->bookings->len + more) * (double)BOOKING_BYTES <= 1024 * value_kb;
+}
+
+guint32 fk_chunk_tasks_within(double value_kb) {
+  return (guint32)CLAMP((value_kb * 1024 - RECORD_BYTES) / BOOKING_BYTES, 8, 128);
+}
+
 FkBooking *fk_chunk_find(const FkChunk *c, guint32 task) {
   for (guint i = 0; i < c->bookings->len; i++) {
     FkBooking *b = &g_array_index(c->bookings, FkBooking, i);
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -26,6 +26,7 @@
   gint64 submitted_ms; /* time of day */
   char *owner;         /* the controller that accepted it: places it while it is short */
   guint32 chunk;       /* tasks a chunk */
+  char **needs;        /* jobs that must be done before any of its tasks starts; NULL: none */
 } FkSpec;
 
 FkSpec *fk_spec_new(void);
@@ -62,6 +63,10 @@
 FkChunk *fk_chunk_copy(const FkChunk *c);
 void fk_chunk_free(FkChunk *c);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkChunk, fk_chunk_free)
+/* Whether its record stays within so many KiB with `more` bookings. */
+gboolean fk_chunk_fits(const FkChunk *c, guint more, double value_kb);
+/* Tasks a chunk of which every one may be booked within so many KiB. */
+guint32 fk_chunk_tasks_within(double value_kb);
 FkBooking *fk_chunk_find(const FkChunk *c, guint32 task);
 
 /* The legal changes. Each returns FALSE, and changes nothing, when the change isn't legal. */
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -32,7 +32,7 @@
  * choice. */
 static gboolean passes_bar(FkController *c, const FkJob *j) {
   return j->spec->rank < FK_RANK_NORMAL ||
-         fk_time_between((FkTime){j->submitted_us}, c->now) > c->settings->tuning.max_wait_s;
+         fk_time_between((FkTime){j->could_us}, c->now) > c->settings->tuning.max_wait_s;
 }
 
 FkMachine *fk_best_for_long(FkController *c, const FkJob *j, GPtrArray *machines, const char *zone) {
--- a/src/core/overdue.c
+++ b/src/core/overdue.c
@@ -39,7 +39,7 @@
 }
 
 static double waited_s(FkController *c, const FkJob *j) {
-  return fk_time_between((FkTime){j->submitted_us}, c->now);
+  return fk_time_between((FkTime){j->could_us}, c->now);
 }
 
 gboolean fk_overdue(FkController *c, const FkJob *j) {
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -59,7 +59,9 @@
   FkOut *t = fk_txn_new(c, FK_PRIO_CLAIM);
   char *key = fk_key(FK_KEY_FENCE, c->settings->node);
   fk_txn_guard(t, g_strdup(key), fk_view_fence(c->view, c->settings->node));
-  fk_txn_put(t, key, fk_record_new(FK_KEY_FENCE), (FkRev){0});
+  FkRecord *r = fk_record_new(FK_KEY_FENCE);
+  r->chains = TRUE;
+  fk_txn_put(t, key, r, (FkRev){0});
   c->fencing = TRUE;
   fk_txn_send(c, t, fenced, NULL, NULL);
 }
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -63,12 +63,47 @@
     m->group->lazy = fk_time_add(c->now, REMOVE_S);
 }
 
-/* The page as it should be; NULL when it is so already. */
-static GPtrArray *page_wanted(FkController *c, FkGroup *g, guint *bytes) {
-  g_autoptr(GPtrArray) members = g_ptr_array_new_with_free_func(fk_machine_rec_free);
-  gboolean changed = FALSE, mine = fk_group_mine(c, g);
-  gsize limit = (gsize)(c->settings->value_kb * 1000) - 100;
-  *bytes = 100;
+/* A group's page as it should be. */
+typedef struct {
+  GPtrArray *members[FK_PARTS]; /* FkMachineRec; NULL: nobody */
+  guint bytes[FK_PARTS];
+  gboolean changed[FK_PARTS];
+} Page;
+
+static void page_clear(Page *p) {
+  for (guint i = 0; i < FK_PARTS; i++)
+    if (p->members[i])
+      g_ptr_array_unref(p->members[i]);
+}
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC(Page, page_clear)
+
+/* The part that the machine is written in: its own while that has room, else the first that has. Before all
+ * controllers can read them there is one part, which may be as large as it is allowed to be now. FK_PARTS:
+ * there is no room. */
+static guint part_for(FkController *c, const Page *p, const FkMachine *m, guint size) {
+  gboolean parts = fk_chains_known(c);
+  guint limit = FK_PAGE_LIMIT(parts ? c->settings->value_kb : c->settings->now_value_kb);
+  if (m->rec && p->bytes[m->part] + size <= limit)
+    return m->part;
+  for (guint i = 0; i < (parts ? FK_PARTS : 1); i++)
+    if (p->bytes[i] + size <= limit)
+      return i;
+  return m->rec && !parts ? m->part : FK_PARTS;
+}
+
+static void put_in(Page *p, guint part, FkMachineRec *r, guint size) {
+  if (!p->members[part])
+    p->members[part] = g_ptr_array_new_with_free_func(fk_machine_rec_free);
+  g_ptr_array_add(p->members[part], r);
+  p->bytes[part] += size;
+}
+
+/* What the group's page should be; FALSE: it is so already. What was written under larger limits is divided
+ * on the way: who has no room in its part any more moves, by the same transaction. */
+static gboolean page_wanted(FkController *c, FkGroup *g, Page *p) {
+  gboolean mine = fk_group_mine(c, g), any = FALSE;
+  for (guint i = 0; i < FK_PARTS; i++)
+    p->bytes[i] = FK_PAGE_BYTES;
   for (guint i = 0; i < g->machines->len; i++) {
     FkMachine *m = g->machines->pdata[i];
     if (m->joining && (m->rec || !mine))
@@ -76,18 +111,17 @@
     if (!m->rec && !m->joining)
       continue;
     const FkMachineRec *from = m->rec ? m->rec : m->joining;
-    guint size = (guint)(strlen(from->id) + strlen(from->addr) + strlen(from->type) + 50);
+    guint size = fk_machine_rec_bytes(from);
     if (m->want_gone && m->rec && !m->books->len) {
-      changed = TRUE;
+      p->changed[m->part] = any = TRUE;
       continue;
     }
-    if (!m->rec) {
-      if (*bytes + size > limit) {
-        g_warning("group %s is full: no room for %s", g->id, m->id);
-        continue;
-      }
-      changed = TRUE;
+    guint part = part_for(c, p, m, size);
+    if (part == FK_PARTS && !m->rec) {
+      g_warning("group %s is full: no room for %s", g->id, m->id);
+      continue;
     }
+    part = MIN(part, FK_PARTS - 1);
     FkMachineRec *r = fk_machine_rec_copy(from);
     r->mark = m->mark;
     r->notice_s = m->notice_s;
@@ -95,15 +129,39 @@
       m->want_mark = NULL;
     if (!m->mark)
       m->want_clear = FALSE;
-    if (m->want_mark || m->want_clear) {
+    gboolean marked = m->want_mark || m->want_clear;
+    if (marked) {
       r->mark = m->want_mark;
       r->notice_s = m->want_notice_s;
-      changed = TRUE;
     }
-    *bytes += size;
-    g_ptr_array_add(members, r);
+    if (!m->rec || marked || part != m->part)
+      p->changed[part] = any = TRUE;
+    if (m->rec && part != m->part)
+      p->changed[m->part] = TRUE;
+    put_in(p, part, r, size);
   }
-  return changed ? g_steal_pointer(&members) : NULL;
+  return any;
+}
+
+/* Its parts that change go into the transaction, together; FALSE: they don't fit beside what is in it. */
+static gboolean page_put(FkController *c, FkOut *t, FkGroup *g, Page *p, guint most) {
+  guint n = 0;
+  for (guint i = 0; i < FK_PARTS; i++)
+    n += p->changed[i];
+  if (t->writes->len && t->writes->len + n > most)
+    return FALSE;
+  if (fk_group_mine(c, g))
+    fk_txn_guard(t, fk_key(FK_KEY_GROUP, g->id), g->rev);
+  for (guint i = 0; i < FK_PARTS; i++) {
+    if (!p->changed[i])
+      continue;
+    FkRecord *r = fk_record_new(FK_KEY_PAGE);
+    r->members =
+        p->members[i] ? g_steal_pointer(&p->members[i]) : g_ptr_array_new_with_free_func(fk_machine_rec_free);
+    fk_txn_guard(t, fk_key_page(g->id, i), g->page_rev[i]);
+    fk_txn_put(t, fk_key_page(g->id, i), r, (FkRev){0});
+  }
+  return TRUE;
 }
 
 static void written(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
@@ -154,7 +212,9 @@
   g_hash_table_iter_init(&it, c->view->groups);
   while (g_hash_table_iter_next(&it, NULL, &p)) {
     FkGroup *g = p;
-    if (!g->dirty && (!g->lazy.us || !fk_time_reached(c->now, g->lazy)))
+    /* what is larger than the limits to come is divided as soon as all can read it so, by its home */
+    gboolean divide = g->oversized && fk_group_mine(c, g) && fk_chains_known(c);
+    if (!g->dirty && !divide && (!g->lazy.us || !fk_time_reached(c->now, g->lazy)))
       continue;
     Due d = {g, g->dirty ? GAIN_A_SECOND * fk_time_between(g->dirty_since, c->now) : 0};
     for (guint i = 0; i < g->machines->len; i++)
@@ -169,30 +229,23 @@
   if (c->roster_sending || c->view->applied.n < c->roster_wait.n || !fk_time_reached(c->now, c->roster_after))
     return;
   FkOut *t = NULL;
-  guint bytes = 0;
+  guint bytes = 0, most = (guint)CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX));
   g_autoptr(GArray) due = groups_due(c);
-  for (guint i = 0;
-       i < due->len && bytes < BYTES_MAX &&
-       (!t || t->writes->len < CLAMP(c->write_room, PAGES_MIN, MIN(c->settings->txn_ops, PAGES_MAX)));
-       i++) {
+  for (guint i = 0; i < due->len && bytes < BYTES_MAX && (!t || t->writes->len < most); i++) {
     FkGroup *g = g_array_index(due, Due, i).group;
-    guint size;
-    GPtrArray *members = page_wanted(c, g, &size);
-    if (!members) {
-      g->dirty = FALSE;
+    g_auto(Page) page = {0};
+    if (!page_wanted(c, g, &page)) {
+      g->dirty = g->oversized = FALSE;
       g->lazy.us = 0;
       continue;
     }
     if (!t)
       t = fk_txn_new(c, FK_PRIO_LAUNCH);
-    FkRecord *r = fk_record_new(FK_KEY_PAGE);
-    r->members = members;
-    fk_txn_guard(t, fk_key(FK_KEY_PAGE, g->id), g->page_rev);
-    if (fk_group_mine(c, g))
-      fk_txn_guard(t, fk_key(FK_KEY_GROUP, g->id), g->rev);
-    fk_txn_put(t, fk_key(FK_KEY_PAGE, g->id), r, (FkRev){0});
+    if (!page_put(c, t, g, &page, most))
+      break;
     g->dirty_since = c->now; /* it waits anew, should anything be left */
-    bytes += size;
+    for (guint k = 0; k < FK_PARTS; k++)
+      bytes += page.changed[k] ? page.bytes[k] : 0;
   }
   if (!t)
     return;
--- a/src/core/serving.c
+++ b/src/core/serving.c
@@ -29,10 +29,10 @@
       j->sized = TRUE;
     }
     /* one that fails everywhere is its user's to mend: no room would serve it */
-    if (j->cancelled || j->doubted)
+    if (j->cancelled || j->doubted || j->held)
       continue;
     FkServedJob s = as_served(j);
-    s.age_s = fk_time_between((FkTime){j->submitted_us}, c->now);
+    s.age_s = fk_time_between((FkTime){j->could_us}, c->now);
     fk_served_live(c->view->served, &s);
   }
   g_autoptr(GPtrArray) rows = fk_served_rows(c->view->served);
--- a/src/core/session.c
+++ b/src/core/session.c
@@ -24,6 +24,7 @@
   fk_view_clear(c->view);
   fk_turn_forget(c->turn);
   g_hash_table_remove_all(c->peer_proof);
+  g_hash_table_remove_all(c->finals_asked);
   g_clear_pointer(&c->list_after, g_free);
   c->list_epoch.n = 0;
   c->catch_up.n = 0;
@@ -119,6 +120,7 @@
   if (c->sync == FK_SYNC_CATCHING_UP && c->view->applied.n >= c->catch_up.n)
     became_ready(c);
   fk_users_tell_waiting(c);
+  fk_users_settle(c);
   fk_calls_again(c);
   /* A short pause lets several changes come in one answer: the watch's share of the request budget stays
    * small. */
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -43,8 +43,10 @@
   GPtrArray *teams;      /* FkTeam */
   GPtrArray *objectives; /* FkObjective */
   double report_s, lease_s, cancel_s;
-  double state_rps, state_write_rps, value_kb;
-  guint txn_ops;
+  double state_rps, state_write_rps; /* now */
+  double next_rps, next_write_rps;   /* from some moment on, without notice; never above those of now */
+  double value_kb, now_value_kb;     /* the lower of now and next; now's */
+  guint txn_ops;                     /* the lower of now and next */
   double cloud_rps, list_lag_s;
   double cpu, ram_mb, sockets;
   double clock_off_ms;
--- a/src/core/stops.c
+++ b/src/core/stops.c
@@ -11,7 +11,8 @@
 
 gboolean fk_stops_add(FkController *c, FkStops *s, FkJob *j, guint32 task) {
   guint32 index = task / j->spec->chunk;
-  if (!j->chunks[index])
+  /* one that is larger than the limits allow can't be written before some of it has ended */
+  if (!j->chunks[index] || !fk_chunk_fits(j->chunks[index], 0, c->settings->value_kb))
     return TRUE;
   if (!s->txn) {
     s->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
--- a/src/core/turn.c
+++ b/src/core/turn.c
@@ -50,15 +50,16 @@
   /* Under overload not all can be on time: what is soonest complete makes the most jobs so. */
   if (hope_x && x->left_cpu_s != y->left_cpu_s)
     return x->left_cpu_s < y->left_cpu_s ? -1 : 1;
-  return x->submitted_us < y->submitted_us ? -1 : x->submitted_us > y->submitted_us;
+  return x->could_us < y->could_us ? -1 : x->could_us > y->could_us;
 }
 
 double fk_job_latest_start(FkController *c, const FkJob *j, double slack) {
   const FkSpec *s = j->spec;
-  double left = slack * fk_view_run_s(c->view, s) + fk_time_between((FkTime){j->submitted_us}, c->now);
+  double left = slack * fk_view_run_s(c->view, s) + fk_time_between((FkTime){j->could_us}, c->now);
   double best = G_MAXDOUBLE;
-  if (s->deadline_s >= left)
-    best = s->deadline_s - left;
+  double due = fk_job_due_s(j);
+  if (due >= left)
+    best = due - left;
   for (guint i = 0; i < c->settings->objectives->len; i++) {
     const FkObjective *o = c->settings->objectives->pdata[i];
     /* a service's aim is its start: after an outage those that can still have it come before those that can't
@@ -113,7 +114,7 @@
  * them by it; and who is hardly served at all, or hasn't begun for too long, gets a floor, as if its rank
  * were the usual one. (A guest's six sweeps waited for up to 352 s to begin on a recorded day.) */
 static void take_place(FkController *c, FkJob *j) {
-  j->rank_now = j->spec->rank;
+  j->rank_now = j->pulled_rank;
   gboolean overdue = fk_overdue(c, j);
   j->urgent = overdue || fk_serving_largest_starved(c, j);
   j->standing = fk_share_standing(fk_turn_claimant(c, j->spec->team));
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -8,8 +8,12 @@
 #define READS_MAX 16      /* questions at a time that are read from the store by a controller that lists it */
 #define VERIFY_MAX 2000   /* polls waiting to be checked; more are told to come back */
 #define TELL_WAIT_S 0.7   /* so long, as for a transaction; then 503 */
+#define SEEN_S 5.0        /* far less than cancel_s */
+#define TRIES_MAX 64      /* steps that an answer may take */
 
 typedef enum { ASK_GET, ASK_SUBMIT, ASK_CANCEL } AskKind;
+/* What is done once our view has reached a revision. */
+typedef enum { THEN_ANSWER, THEN_VERIFY, THEN_ACCEPT } Then;
 typedef struct {
   FkController *of; /* whose table has it */
   AskKind kind;
@@ -20,6 +24,11 @@
   guint tries;
   guint reads;    /* 1: one of those that are read though there is no view */
   gboolean shown; /* our view showed the job when the store was asked to compare */
+  Then then;
+  FkRev until;
+  gboolean withdrawn; /* a job that it names is cancelled */
+  gboolean unsure;    /* the end of an ancestor is being read */
+  guint compared;     /* jobs that it names, of which the store was asked whether they are there */
 } Ask;
 
 void fk_users_ask_free(gpointer p) {
@@ -127,13 +136,26 @@
   }
 }
 
+/* A job that needs others says `withdrawn` when one of them is cancelled, whose record says so, not its own.
+ * So that it waits, or runs, is told by a view that has all that was committed when the store was asked. */
+static void settle(FkController *c, Ask *a, FkRev until, Then then) {
+  if (!fk_ready(c) || c->settling->length >= VERIFY_MAX || a->tries++ >= TRIES_MAX) {
+    answer_later(c, a);
+    return;
+  }
+  a->until = until;
+  a->then = then;
+  a->since = c->now;
+  g_queue_push_tail(c->settling, a);
+}
+
 static void cancel_commit(FkController *c, Ask *a, FkSpec *spec, FkRev rev);
 static void read_live(FkController *c, Ask *a);
 
 static void got_final(FkController *c, gpointer data, FkOutcome o, FkEvent *e) {
   Ask *a = data;
   if (o == FK_OK && e && e->record && e->record->kind == FK_KEY_FINAL) {
-    fk_view_remember_final(c->view, a->id, e->record->phase, e->record->tasks);
+    fk_view_remember_final(c->view, a->id, e->record->phase, e->record->tasks, e->record->at_ms);
     answer_final(c, a, e->record->phase, e->record->tasks);
   } else if (o == FK_GONE && a->kind != ASK_SUBMIT) {
     answer(c, a, 404);
@@ -165,7 +187,9 @@
   if (answered_from_memory(c, a))
     return;
   FkJob *j = fk_view_job(c->view, a->id);
-  if (j) {
+  if (e->record->spec->needs && (!j || j->held)) {
+    settle(c, a, e->rev, THEN_VERIFY);
+  } else if (j) {
     answer_view(c, a, j);
   } else {
     answer(c, a, 200)->phase = FK_PHASE_QUEUED;
@@ -201,6 +225,8 @@
     FkJob *j = fk_view_job(c->view, a->id);
     if (g_hash_table_contains(bad, a->id)) {
       read_live(c, a);
+    } else if (j && j->held) {
+      settle(c, a, epoch, THEN_ANSWER);
     } else if (j) {
       answer_view(c, a, j);
     } else if (a->shown) {
@@ -283,10 +309,44 @@
     verify_add(c, a);
 }
 
+/* The view has what the store had when it was asked. */
+static void answer_held(FkController *c, Ask *a) {
+  if (answered_from_memory(c, a))
+    return;
+  const FkJob *j = fk_view_job(c->view, a->id);
+  if (!j)
+    read_live(c, a);
+  else if (!fk_deps_sure(c->view->deps, a->id))
+    answer_later(c, a); /* an ancestor's end is being read */
+  else
+    answer_view(c, a, j);
+}
+
+static void accept(FkController *c, Ask *a);
+
+void fk_users_settle(FkController *c) {
+  for (guint n = c->settling->length; n; n--) {
+    Ask *a = g_queue_pop_head(c->settling);
+    if (!fk_ready(c) || (c->view->applied.n < a->until.n && fk_time_between(a->since, c->now) > TELL_WAIT_S))
+      answer_later(c, a);
+    else if (c->view->applied.n < a->until.n)
+      g_queue_push_tail(c->settling, a);
+    else if (a->then == THEN_ANSWER)
+      answer_held(c, a);
+    else if (a->then == THEN_VERIFY)
+      verify_add(c, a);
+    else
+      accept(c, a);
+  }
+}
+
 static void accepted(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
   Ask *a = data;
-  if (o == FK_OK) {
-    answer(c, a, 201)->phase = FK_PHASE_QUEUED;
+  if (o == FK_OK && a->spec->needs && (a->unsure || fk_time_between(c->confirmed, c->now) > SEEN_S)) {
+    /* what became long ago of those that it needs, this view may not show */
+    settle(c, a, epoch, THEN_ANSWER);
+  } else if (o == FK_OK) {
+    answer(c, a, 201)->phase = a->withdrawn ? FK_PHASE_CANCELLED : FK_PHASE_QUEUED;
     ask_free(a);
   } else if (o == FK_CONFLICT) {
     read_live(c, a);
@@ -332,10 +392,127 @@
     ask_free(a);
     return;
   }
+  accept(c, a);
+}
+
+/* ------------------------------------------------------------------ accepting */
+
+static void got_dependency(FkController *c, gpointer data, FkOutcome o, FkEvent *e) {
+  Ask *a = data;
+  if (o != FK_OK || !e || !e->record || e->record->kind != FK_KEY_FINAL) {
+    answer_later(c, a);
+    return;
+  }
+  g_autofree char *id = NULL;
+  guint32 chunk;
+  fk_key_parse(e->path, &id, &chunk);
+  fk_view_remember_final(c->view, id, e->record->phase, e->record->tasks, e->record->at_ms);
+  accept(c, a);
+}
+
+/* Those that the store has too are live, and our view is behind, or have ended, and are read one after
+ * another: each step is remembered, also for the same submission's next attempt. */
+static void compared(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
+  Ask *a = data;
+  const char *ended = NULL;
+  guint there = 0;
+  if (o == FK_OK) {
+    /* at one moment neither it nor any of them was there, live or ended */
+    answer(c, a, 422);
+    ask_free(a);
+    return;
+  }
+  for (guint i = 0; o == FK_CONFLICT && failed && i < failed->len; i++) {
+    g_autofree char *id = NULL;
+    guint32 chunk;
+    FkKeyKind kind = fk_key_parse(failed->pdata[i], &id, &chunk);
+    if (g_strcmp0(id, a->id) == 0) {
+      read_live(c, a);
+      return;
+    }
+    there++;
+    if (kind == FK_KEY_FINAL)
+      ended = failed->pdata[i];
+  }
+  if (!there)
+    answer_later(c, a);
+  else if (there < a->compared) {
+    answer(c, a, 422); /* the others weren't there, and neither was it */
+    ask_free(a);
+  } else if (ended && a->tries++ < TRIES_MAX)
+    fk_get_send(c, g_strdup(ended), got_dependency, a, NULL);
+  else
+    settle(c, a, epoch, THEN_ACCEPT);
+}
+
+/* What is known of those that it names. Done is for good, and needn't be written down; so is cancelled, and
+ * that one was accepted. FALSE: the store is asked. Nothing of this needs a guard: that a job was accepted
+ * never changes, and what becomes of it is seen by whoever has it in its view. */
+static gboolean dependencies_known(FkController *c, Ask *a) {
+  char **needs = a->spec->needs;
+  g_autoptr(GStrvBuilder) open = g_strv_builder_new();
+  FkOut *t = NULL;
+  guint n_open = 0;
+  a->compared = 0;
+  a->withdrawn = a->unsure = FALSE;
+  for (guint i = 0; needs && needs[i]; i++) {
+    FkPhase phase;
+    guint32 tasks;
+    const FkJob *d = fk_view_job(c->view, needs[i]);
+    gboolean final = fk_view_final(c->view, needs[i], &phase, &tasks);
+    if ((d && d->spec->shape == FK_SHAPE_SERVICE) || g_str_equal(needs[i], a->id)) {
+      if (t)
+        fk_out_free(t);
+      answer(c, a, 422);
+      ask_free(a);
+      return FALSE;
+    }
+    if (final && phase == FK_PHASE_DONE)
+      continue;
+    if (d || final) {
+      a->withdrawn |= final || d->cancelled;
+      a->unsure |= !fk_deps_sure(c->view->deps, needs[i]);
+      g_strv_builder_add(open, needs[i]);
+      n_open++;
+      continue;
+    }
+    if (!t) {
+      t = fk_txn_new(c, FK_PRIO_USER);
+      fk_txn_guard(t, fk_key(FK_KEY_JOB, a->id), (FkRev){0});
+      fk_txn_guard(t, fk_key(FK_KEY_FINAL, a->id), (FkRev){0});
+    }
+    if (t->guards->len + 2 > 4 * c->settings->txn_ops)
+      break; /* in steps */
+    fk_txn_guard(t, fk_key(FK_KEY_JOB, needs[i]), (FkRev){0});
+    fk_txn_guard(t, fk_key(FK_KEY_FINAL, needs[i]), (FkRev){0});
+    a->compared++;
+  }
+  if (t) {
+    fk_txn_send(c, t, compared, a, NULL);
+    return FALSE;
+  }
+  g_strfreev(a->spec->needs);
+  a->spec->needs = n_open ? g_strv_builder_end(open) : NULL;
+  return TRUE;
+}
+
+static void accept(FkController *c, Ask *a) {
+  FkSpec *spec = a->spec;
+  if (fk_view_job(c->view, a->id)) {
+    verify_add(c, a);
+    return;
+  }
+  if (spec->needs && !fk_chains_known(c)) {
+    answer_later(c, a); /* a version that doesn't know what it waits for would start it */
+    return;
+  }
+  if (!dependencies_known(c, a))
+    return;
+  g_free(spec->owner);
   spec->owner = g_strdup(c->settings->node);
   spec->submitted_ms = (c->now.us + c->view->wall_offset_us) / 1000;
   /* a chunk with every task booked stays within a value's limit */
-  spec->chunk = (guint32)CLAMP((c->settings->value_kb * 1024 - 400) / 56, 8, 128);
+  spec->chunk = fk_chunk_tasks_within(c->settings->value_kb);
   FkOut *t = fk_txn_new(c, FK_PRIO_USER);
   fk_txn_guard(t, fk_key(FK_KEY_JOB, spec->id), (FkRev){0});
   fk_txn_guard(t, fk_key(FK_KEY_FINAL, spec->id), (FkRev){0});
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -199,6 +199,25 @@
   g_free(n);
 }
 
+/* All that the job needs is done, or an ancestor of it is cancelled. */
+static void dependency_changed(gpointer data, const char *id, gboolean cancelled) {
+  FkView *v = data;
+  FkJob *j = fk_view_job(v, id);
+  if (!j)
+    return;
+  if (cancelled) {
+    j->cancelled = j->withdrawn = TRUE;
+    j->cancel_seen = v->now;
+    return;
+  }
+  if (!j->held)
+    return;
+  gint64 ready_ms = fk_deps_ready_ms(v->deps, id);
+  j->held = FALSE;
+  j->seen = v->now;
+  j->could_us = ready_ms ? CLAMP(ready_ms * 1000 - v->wall_offset_us, j->submitted_us, v->now.us) : v->now.us;
+}
+
 FkView *fk_view_new(const FkSettings *s) {
   FkView *v = g_new0(FkView, 1);
   v->settings = s;
@@ -218,12 +237,14 @@
   v->blame = fk_blame_new();
   v->served = fk_served_new();
   v->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  v->deps = fk_deps_new(dependency_changed, v);
   v->touched = g_hash_table_new(g_str_hash, g_str_equal);
   return v;
 }
 
 /* Forgets what lives, before reading it again. Finals never change, so they stay. */
 void fk_view_clear(FkView *v) {
+  fk_deps_clear(v->deps);
   g_hash_table_remove_all(v->jobs);
   g_hash_table_remove_all(v->machines);
   g_hash_table_remove_all(v->groups);
@@ -266,6 +287,7 @@
   fk_served_free(v->served);
   g_hash_table_unref(v->touched);
   fk_spec_unref(v->service);
+  fk_deps_free(v->deps);
   g_free(v);
 }
 
@@ -332,8 +354,8 @@
 }
 
 FkRev fk_view_fence(FkView *v, const char *node) {
-  FkRev *r = g_hash_table_lookup(v->fences, node);
-  return r ? *r : (FkRev){0};
+  FkFence *f = g_hash_table_lookup(v->fences, node);
+  return f ? f->rev : (FkRev){0};
 }
 
 FkTeamUse *fk_view_team(FkView *v, const char *name) {
@@ -735,9 +757,29 @@
   if (!j->cancelled)
     fk_served_ended(v->served, j->spec->class_name, j->spec->team, fk_spec_size(j->spec));
   fk_blame_job_gone(v->blame, id);
+  fk_deps_note(v->deps, id, FK_DEP_UNKNOWN, 0); /* its final comes with it, or is known already */
+  fk_deps_remove(v->deps, id);
   g_hash_table_remove(v->jobs, id);
 }
 
+/* It waits for those of its dependencies that aren't known to be done. */
+static void take_dependencies(FkView *v, FkJob *j) {
+  char **needs = j->spec->needs;
+  if (!needs)
+    return;
+  j->held = TRUE;
+  fk_deps_add(v->deps, j->spec->id, needs);
+  for (guint i = 0; needs[i]; i++) {
+    FkPhase phase;
+    guint32 tasks;
+    const FkJob *d = fk_view_job(v, needs[i]);
+    if (d)
+      fk_deps_note(v->deps, needs[i], d->cancelled ? FK_DEP_CANCELLED : FK_DEP_LIVE, 0);
+    else if (fk_view_final(v, needs[i], &phase, &tasks))
+      fk_deps_note(v->deps, needs[i], phase == FK_PHASE_DONE ? FK_DEP_DONE : FK_DEP_CANCELLED, 0);
+  }
+}
+
 static void set_job(FkView *v, const char *id, FkRecord *r, FkRev rev) {
   FkJob *j = fk_view_job(v, id);
   if (j && j->rev.n >= rev.n)
@@ -758,7 +800,12 @@
     j->submitted_us = j->spec->submitted_ms * 1000 - v->wall_offset_us;
     if (j->submitted_us > v->now.us)
       j->submitted_us = v->now.us;
+    j->could_us = j->submitted_us;
+    j->due_us = fk_job_own_due(j);
+    j->pulled_rank = j->spec->rank;
     g_hash_table_insert(v->jobs, j->spec->id, j);
+    fk_deps_note(v->deps, id, FK_DEP_LIVE, 0); /* somebody may have come before it, and name it */
+    take_dependencies(v, j);
     if (j->spec->shape == FK_SHAPE_SERVICE) {
       fk_spec_unref(v->service);
       v->service = fk_spec_ref(j->spec);
@@ -772,8 +819,10 @@
         for (guint k = 0; k < j->chunks[i]->bookings->len; k++)
           touch(v, fk_view_machine_ensure(v, g_array_index(j->chunks[i]->bookings, FkBooking, k).machine));
   }
-  j->cancelled = r->cancelled;
+  j->cancelled = r->cancelled || j->withdrawn;
   j->rev = rev;
+  if (j->cancelled)
+    fk_deps_note(v->deps, id, FK_DEP_CANCELLED, 0);
 }
 
 static void set_group(FkView *v, const char *id, FkRecord *r, FkRev rev) {
@@ -791,17 +840,35 @@
     touch(v, g->machines->pdata[i]);
 }
 
-/* A machine that a page no longer has is proven gone: its bookings have ended before. */
+char *fk_key_page(const char *group, guint part) {
+  g_autofree char *id = part ? g_strdup_printf("%s+%u", group, part) : g_strdup(group);
+  return fk_key(FK_KEY_PAGE, id);
+}
+
+guint fk_machine_rec_bytes(const FkMachineRec *m) {
+  return (guint)(strlen(m->id) + strlen(m->addr) + strlen(m->type) + 50);
+}
+
+/* A machine that a part of its page no longer has, and no other has now, is proven gone: its bookings have
+ * ended before. One that moves is in its new part by the same transaction. */
 static void set_page(FkView *v, const char *id, FkRecord *r, FkRev rev) {
-  FkGroup *g = fk_view_group(v, id);
-  if (g->page_rev.n >= rev.n)
+  const char *plus = strrchr(id, '+');
+  g_autofree char *group = plus ? g_strndup(id, plus - id) : g_strdup(id);
+  guint64 part = plus ? g_ascii_strtoull(plus + 1, NULL, 10) : 0;
+  if (part >= FK_PARTS)
+    return;
+  FkGroup *g = fk_view_group(v, group);
+  if (g->page_rev[part].n >= rev.n)
     return;
-  g->page_rev = rev;
+  g->page_rev[part] = rev;
+  guint bytes = FK_PAGE_BYTES;
   for (guint i = 0; r && i < r->members->len; i++) {
     FkMachineRec *rec = r->members->pdata[i];
     FkMachine *m = fk_view_machine_ensure(v, rec->id);
     join_group(m, g);
     m->page_rev = rev;
+    m->part = (guint)part;
+    bytes += fk_machine_rec_bytes(rec);
     gboolean fresh = !m->rec, changed = m->mark != rec->mark;
     if (changed) {
       m->mark = rec->mark;
@@ -815,9 +882,10 @@
     if (fresh || changed)
       touch(v, m);
   }
+  g->oversized |= bytes > FK_PAGE_LIMIT(v->settings->value_kb);
   for (guint i = 0; i < g->machines->len; i++) {
     FkMachine *m = g->machines->pdata[i];
-    if (m->page_rev.n == rev.n || !m->rec)
+    if (m->part != part || m->page_rev.n == rev.n || !m->rec)
       continue;
     g_clear_pointer(&m->rec, fk_machine_rec_free);
     m->mark = NULL;
@@ -840,7 +908,8 @@
   }
 }
 
-void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks) {
+void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks, gint64 at_ms) {
+  fk_deps_note(v->deps, id, phase == FK_PHASE_DONE ? FK_DEP_DONE : FK_DEP_CANCELLED, at_ms);
   if (g_hash_table_contains(v->finals, id))
     return;
   char *key = g_strdup(id);
@@ -881,9 +950,10 @@
     set_team(v, id, r, rev);
     break;
   case FK_KEY_FENCE:
-    if (r)
-      g_hash_table_replace(v->fences, g_strdup(id), g_memdup2(&rev, sizeof rev));
-    else
+    if (r) {
+      FkFence f = {rev, r->chains};
+      g_hash_table_replace(v->fences, g_strdup(id), g_memdup2(&f, sizeof f));
+    } else
       g_hash_table_remove(v->fences, id);
     break;
   case FK_KEY_LEADER:
@@ -944,13 +1014,21 @@
     break;
   case FK_KEY_FINAL:
     if (r)
-      fk_view_remember_final(v, id, r->phase, r->tasks);
+      fk_view_remember_final(v, id, r->phase, r->tasks, r->at_ms);
     break;
   default:
     apply_small(v, kind, id, r, rev);
   }
 }
 
+gint64 fk_job_own_due(const FkJob *j) {
+  return j->spec->deadline_s < 0 ? G_MAXINT64 : j->submitted_us + (gint64)(j->spec->deadline_s * 1e6);
+}
+
+double fk_job_due_s(const FkJob *j) {
+  return j->due_us == G_MAXINT64 ? -1 : MAX(0, (double)(j->due_us - j->could_us) / 1e6);
+}
+
 FkPhase fk_job_phase(const FkJob *j) {
   if (j->cancelled)
     return FK_PHASE_CANCELLED;
@@ -960,7 +1038,7 @@
 gboolean fk_job_complete(const FkJob *j) { return j->done == j->spec->tasks; }
 
 guint32 fk_job_waiting(const FkJob *j) {
-  if (j->cancelled || j->gone)
+  if (j->cancelled || j->gone || j->held)
     return 0;
   guint32 all = j->spec->tasks - j->done - j->booked;
   return !j->doubted || j->spec->shape == FK_SHAPE_GANG ? all : j->booked ? 0 : MIN(1, all);
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -3,6 +3,7 @@
 #include "blame/blame.h"
 #include "core/job.h"
 #include "core/settings.h"
+#include "deps/deps.h"
 #include "teams/served.h"
 #include "teams/share.h"
 
@@ -76,6 +77,8 @@
   FkPhase phase;      /* FINAL */
   guint32 tasks;      /* FINAL */
   FkWaits waits;      /* WAITS */
+  gboolean chains;    /* FENCE */
+  gint64 at_ms;       /* FINAL: when it ended, time of day; 0: not said */
 } FkRecord;
 
 FkRecord *fk_record_new(FkKeyKind kind);
@@ -91,6 +94,11 @@
 FkKeyKind fk_key_parse(const char *path, char **id, guint32 *chunk);
 char *fk_key(FkKeyKind kind, const char *id);
 char *fk_key_chunk(const char *job, guint32 chunk);
+char *fk_key_page(const char *group, guint part);
+/* What a machine takes of a page, and what the page itself does, in bytes at the most. */
+guint fk_machine_rec_bytes(const FkMachineRec *m);
+#define FK_PAGE_BYTES 100
+#define FK_PAGE_LIMIT(value_kb) ((guint)((value_kb)*1000) - 100)
 
 typedef struct {
   char *path;
@@ -132,6 +140,12 @@
   double latest_s;     /* how far off its latest useful start is; sorts the queue */
   FkTime gang_until;   /* a gang's launch may go on in further transactions until then */
   gint64 submitted_us; /* on the steady clock, by the time of day */
+  gint64 could_us; /* since when it could start: its submission, or the end of the last job that it needs */
+  gint64
+      due_us; /* on the steady clock; G_MAXINT64: never. Its own deadline, or what those need that need it */
+  FkRank pulled_rank; /* the highest of those that need it, directly or through others, and its own */
+  gboolean held; /* a job that it needs isn't done: it waits for nothing else, and takes part in nothing */
+  gboolean withdrawn; /* cancelled with a job that it needs; its own record needn't say so */
 } FkJob;
 
 typedef struct {
@@ -156,13 +170,18 @@
   FkTime last, before;
 } FkBack;
 
+/* A group's page is one record while a value holds it, then several: "zone.k", "zone.k+1", ... Only versions
+ * that know of chains read those with a number. */
+#define FK_PARTS 8
+
 /* Machines of one zone that have one home together: the claim's revision is the token of them all. */
 typedef struct {
-  const char *id, *zone; /* interned */
-  char *home, *life;     /* the controller, and which of its lives; NULL: none yet */
-  FkRev rev;             /* the claim's; 0: none */
-  FkRev page_rev;
-  GPtrArray *machines; /* FkMachine: those described in the page, and others heard of */
+  const char *id, *zone;    /* interned */
+  char *home, *life;        /* the controller, and which of its lives; NULL: none yet */
+  FkRev rev;                /* the claim's; 0: none */
+  FkRev page_rev[FK_PARTS]; /* of its page's parts */
+  gboolean oversized;       /* a part was written under larger limits than those to come */
+  GPtrArray *machines;      /* FkMachine: those described in the page, and others heard of */
   FkTime claim_after, lost_until;
   FkTime theirs_until; /* another has just taken it from us: that its workers come back proves nothing */
   gboolean was_mine;
@@ -180,7 +199,8 @@
   const char *id;        /* interned */
   FkMachineRec *rec;     /* NULL: not described in its group's page */
   FkGroup *group;        /* NULL: its zone isn't known */
-  FkRev page_rev;        /* the latest page that had it */
+  FkRev page_rev;        /* the latest part of its group's page that had it, */
+  guint part;            /* and which that is */
   FkMachineRec *joining; /* what is to be written of it */
   const char *want_mark; /* interned: the mark to be written, or NULL: as it is */
   double want_notice_s;
@@ -219,6 +239,13 @@
   GHashTable *split; /* controller -> double*: its share of the limit; NULL: shared */
 } FkTeamUse;
 
+/* The guard of a controller's launches. Each of its lives writes it before it launches anything, so that it
+ * also says what the version knows that wrote it last. */
+typedef struct {
+  FkRev rev;
+  gboolean chains; /* jobs that need others, records in parts */
+} FkFence;
+
 typedef struct FkView FkView;
 struct FkView {
   const FkSettings *settings;
@@ -228,7 +255,8 @@
   GHashTable *groups;    /* id -> FkGroup */
   GHashTable *end_pages; /* "node/n" -> FkEndPage */
   GHashTable *ends;      /* "job/index" -> GPtrArray of FkEnds, the pages' */
-  GHashTable *fences;    /* node -> FkRev* */
+  GHashTable *fences;    /* node -> FkFence* */
+  FkDeps *deps;          /* who waits for whom, of the live jobs */
   GHashTable *nodes;     /* name -> FkNode */
   GHashTable *teams;     /* name -> FkTeamUse */
   GHashTable *waits;     /* node -> FkWaits */
@@ -271,7 +299,12 @@
 FkRev fk_view_fence(FkView *v, const char *node);
 FkTeamUse *fk_view_team(FkView *v, const char *name);
 gboolean fk_view_final(FkView *v, const char *id, FkPhase *phase, guint32 *tasks);
-void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks);
+/* `at_ms`: when it ended, time of day; 0: not known. */
+void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks, gint64 at_ms);
+/* When it must be done by its own deadline, on the steady clock; G_MAXINT64: at any time. */
+gint64 fk_job_own_due(const FkJob *j);
+/* Seconds from when the job could start until it must be done; < 0: at any time. */
+double fk_job_due_s(const FkJob *j);
 /* The owner's estimate, corrected by what finished tasks of the class took. */
 double fk_view_run_s(FkView *v, const FkSpec *s);
 /* Now and then: which jobs seem to fail everywhere, by what has outlived their failures since. */
--- a/src/io/shell.c
+++ b/src/io/shell.c
@@ -16,8 +16,11 @@
 
 #define TICK_MS 100
 #define STORE_DEADLINE_S 2.0
-#define AGAIN_MAX 6 /* times that a request over the store's budget is sent again */
-#define LEND 1.2    /* a controller may use somewhat more than its share: not all need theirs at once ... */
+#define AGAIN_MAX 6    /* times that a request over the store's budget is sent again */
+#define OVER_KEPT 0.98 /* a tick: half of them are forgotten after 3.4 s */
+#define OVER_MANY 6    /* of a controller that keeps to its share: the limits have changed */
+#define NEXT_S 60      /* and are looked at again after this */
+#define LEND 1.2 /* a controller may use somewhat more than its share: not all need theirs at once ... */
 #define LEND_WRITES 1.0 /* ... but what users wait for must find room */
 
 struct FkShell {
@@ -32,6 +35,8 @@
   gint64 door_said; /* us */
   FkHttp *store, *workers, *cloud, *peers;
   FkBudget *store_budget, *cloud_budget;
+  double over;          /* transactions that the store refused as over its rate, lately */
+  gint64 next_until;    /* until then its rates are taken to be those to come */
   GHashTable *requests; /* number -> SoupServerMessage: those that wait */
   guint64 next_request;
   SoupServerMessage *fresh; /* the request in the handler now, not answered yet; its number is next_request */
@@ -130,6 +135,8 @@
   FkOut *out = sent->out;
   FkOutcome o = outcome(status);
   fk_controller_room(s->core, fk_budget_room(s->store_budget, FK_PRIO_LAUNCH));
+  if (status == 429 && out->kind == FK_OUT_COMMIT)
+    s->over += 1;
   if (status == 429 && (out->kind == FK_OUT_COMMIT || out->kind == FK_OUT_GET) && out->tries++ < AGAIN_MAX) {
     g_free(sent);
     fk_budget_again(s->store_budget, out->kind == FK_OUT_GET ? FK_PRIO_USER : out->prio,
@@ -611,8 +618,18 @@
   fk_controller_tick(s->core, now(), g_get_real_time());
   say_reach(s);
   double share = fk_controller_share(s->core), writes = fk_controller_write_share(s->core);
-  fk_budget_rates(s->store_budget, MIN(1, LEND * share) * s->settings->state_rps,
-                  MIN(1, LEND_WRITES * writes) * s->settings->state_write_rps);
+  /* The limits to come hold from some moment on, without notice: refusals tell. */
+  s->over *= OVER_KEPT;
+  if (s->over > OVER_MANY && s->settings->next_write_rps < s->settings->state_write_rps) {
+    if (g_get_monotonic_time() >= s->next_until)
+      g_message("the store refuses writes within its rate: %g a second from here on",
+                s->settings->next_write_rps);
+    s->next_until = g_get_monotonic_time() + (gint64)(NEXT_S * 1e6);
+  }
+  gboolean next = g_get_monotonic_time() < s->next_until;
+  fk_budget_rates(
+      s->store_budget, MIN(1, LEND * share) * (next ? s->settings->next_rps : s->settings->state_rps),
+      MIN(1, LEND_WRITES * writes) * (next ? s->settings->next_write_rps : s->settings->state_write_rps));
   drain(s);
   return G_SOURCE_CONTINUE;
 }
--- a/src/wire/settings.c
+++ b/src/wire/settings.c
@@ -82,6 +82,29 @@
   return TRUE;
 }
 
+/* The limits to come: what is written must fit them as well as those of now. */
+static gboolean parse_next(FkSettings *s, const cJSON *state, GError **error) {
+  const cJSON *next = fk_json_get(state, "next");
+  double ops = s->txn_ops, value_kb = s->value_kb;
+  s->next_rps = s->state_rps;
+  s->next_write_rps = s->state_write_rps;
+  s->now_value_kb = s->value_kb;
+  if (!next)
+    return TRUE;
+  if (!cJSON_IsObject(next))
+    return fail(error, "deployment.state.next", "an object is needed");
+  if (!take_num_or(next, "rps", 1, s->state_rps, &s->next_rps, error) ||
+      !take_num_or(next, "write_rps", 1, s->state_write_rps, &s->next_write_rps, error) ||
+      !take_num_or(next, "value_kb", 1, s->value_kb, &value_kb, error) ||
+      !take_num_or(next, "txn_ops", 4, s->txn_ops, &ops, error))
+    return FALSE;
+  s->next_rps = MIN(s->next_rps, s->state_rps);
+  s->next_write_rps = MIN(s->next_write_rps, s->state_write_rps);
+  s->value_kb = MIN(s->value_kb, value_kb);
+  s->txn_ops = (guint)MIN(s->txn_ops, ops);
+  return TRUE;
+}
+
 static gboolean parse_deployment(FkSettings *s, const cJSON *d, GError **error) {
   const cJSON *j, *w = fk_json_get(d, "workers"), *st = fk_json_get(d, "state"),
                   *cl = fk_json_get(d, "cloud"), *res = fk_json_get(d, "resources"),
@@ -119,7 +142,7 @@
       !take_num_or(d, "clock_off_ms", 0, 1000, &s->clock_off_ms, error))
     return FALSE;
   s->txn_ops = (guint)ops;
-  return TRUE;
+  return parse_next(s, st, error);
 }
 
 FkSettings *fk_settings_parse(const char *body, gsize len, GError **error) {
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -34,6 +34,11 @@
   cJSON_AddNumberToObject(o, "submitted", (double)s->submitted_ms);
   cJSON_AddStringToObject(o, "owner", s->owner ? s->owner : "");
   cJSON_AddNumberToObject(o, "chunk", s->chunk);
+  if (s->needs) { /* a job without any keeps the form of before, byte by byte */
+    cJSON *list = cJSON_AddArrayToObject(o, "needs");
+    for (guint i = 0; s->needs[i]; i++)
+      cJSON_AddItemToArray(list, cJSON_CreateString(s->needs[i]));
+  }
   return o;
 }
 
@@ -73,6 +78,16 @@
   s->deadline_s = fk_json_num_or(o, "deadline", -1);
   s->submitted_ms = (gint64)fk_json_num_or(o, "submitted", 0);
   s->owner = g_strdup(fk_json_str(o, "owner"));
+  const cJSON *needs = fk_json_get(o, "needs");
+  if (needs && cJSON_GetArraySize(needs)) {
+    g_autoptr(GStrvBuilder) b = g_strv_builder_new();
+    cJSON_ArrayForEach(t, needs) {
+      if (!cJSON_IsString(t))
+        return NULL; /* it must not start as if it needed nobody */
+      g_strv_builder_add(b, t->valuestring);
+    }
+    s->needs = g_strv_builder_end(b);
+  }
   return g_steal_pointer(&s);
 }
 
@@ -145,7 +160,8 @@
     if (e->done->len)
       add_bits(j, "d", e->done->data, e->done->len);
     cJSON *list = e->released->len ? cJSON_AddArrayToObject(j, "r") : NULL;
-    cJSON *failed = NULL; /* again the attempts that failed: a version that doesn't know it still releases them */
+    cJSON *failed =
+        NULL; /* again the attempts that failed: a version that doesn't know it still releases them */
     for (guint k = 0; k < e->released->len; k++) {
       const FkTry *t = &g_array_index(e->released, FkTry, k);
       cJSON_AddItemToArray(list, cJSON_CreateNumber(t->task));
@@ -295,6 +311,10 @@
   } else if (r->kind == FK_KEY_FINAL) {
     cJSON_AddNumberToObject(o, "phase", r->phase);
     cJSON_AddNumberToObject(o, "tasks", r->tasks);
+    if (r->at_ms)
+      cJSON_AddNumberToObject(o, "at", (double)r->at_ms);
+  } else if (r->kind == FK_KEY_FENCE && r->chains) {
+    cJSON_AddBoolToObject(o, "chains", TRUE);
   } else if (r->kind == FK_KEY_WAITS) {
     fk_json_add_u64(o, "window", r->waits.window);
     cJSON_AddNumberToObject(o, "sum", r->waits.sum_s);
@@ -335,6 +355,7 @@
       return NULL;
     r->phase = (FkPhase)n;
     r->tasks = fk_json_u64(o, "tasks", &n) ? (guint32)n : 0;
+    r->at_ms = (gint64)fk_json_num_or(o, "at", 0);
     break;
   case FK_KEY_WAITS:
     fk_json_u64(o, "window", &r->waits.window);
@@ -357,6 +378,7 @@
     r->split = split_from_json(fk_json_get(o, "split"));
     break;
   case FK_KEY_FENCE:
+    fk_json_bool(o, "chains", &r->chains);
     break;
   default:
     return NULL;
--- a/src/wire/user.c
+++ b/src/wire/user.c
@@ -62,6 +62,25 @@
   return TRUE;
 }
 
+/* Missing, null and empty mean none; a name given twice counts once. */
+static gboolean take_needs(const cJSON *o, char ***out) {
+  const cJSON *list = fk_json_get(o, "awaits"), *item;
+  if (!list)
+    return TRUE;
+  if (!cJSON_IsArray(list))
+    return FALSE;
+  g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+  g_autoptr(GStrvBuilder) b = g_strv_builder_new();
+  cJSON_ArrayForEach(item, list) {
+    if (!cJSON_IsString(item) || !fk_user_valid_id(item->valuestring))
+      return FALSE;
+    if (g_hash_table_add(seen, item->valuestring))
+      g_strv_builder_add(b, item->valuestring);
+  }
+  *out = g_hash_table_size(seen) ? g_strv_builder_end(b) : NULL;
+  return TRUE;
+}
+
 FkSpec *fk_user_parse_submission(const char *body, gsize len, const char **why) {
   g_autoptr(cJSON) o = fk_json_parse(body, len);
   g_autoptr(FkSpec) s = fk_spec_new();
@@ -93,6 +112,7 @@
   NEED(take_amount(o, "knot_s", &s->checkpoint_s), "knot_s")
   NEED(take_amount(o, "stow_s", &s->save_s), "stow_s")
   NEED(!fk_json_get(o, "due_s") || take_amount(o, "due_s", &s->deadline_s), "due_s")
+  NEED(take_needs(o, &s->needs), "awaits")
 #undef NEED
   s->shape = (FkShape)shape;
   s->rank = (FkRank)rank;
