--- a/src/lab/recovery.c
+++ b/src/lab/recovery.c
@@ -29,7 +29,9 @@
   s->cancel_s = 70;
   s->state_write_rps = writes;
   s->state_rps = 3 * writes;
-  s->value_kb = 32;
+  s->value_kb = s->now_value_kb = 32;
+  s->next_rps = s->state_rps;
+  s->next_write_rps = s->state_write_rps;
   s->txn_ops = 24;
   s->cloud_rps = cloud;
   s->list_lag_s = 10;
--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -1,7 +1,7 @@
 /* What the files of the simulated world share. */
 #pragma once
+#include "lab/version.h"
 #include "lab/world.h"
-
 #define N_MAX 5
 #define DEADLINE_S 2.0
 #define SILENT -1.0
@@ -24,6 +24,9 @@
 
 typedef struct {
   FkController *core; /* NULL: down */
+  const FkVersion *v;
+  FkSettings *settings; /* its version's */
+  void (*settings_free)(FkSettings *);
   guint gen, starts;
   gint64 cut_state, cut_workers; /* until */
   gint64 cut_peers;
@@ -81,7 +84,10 @@
   guint north, south; /* ... by zone */
   gint64 could_since; /* since then a machine that fits has room, and nothing of it was started; 0: not so */
   guint could_tries;
-  gboolean impossible; /* it can never run */
+  gboolean impossible;     /* it can never run */
+  GPtrArray *needs;        /* UJob; NULL: none */
+  gboolean waits_for_ends; /* its user submits it once all that it needs are over */
+  const char *names;       /* a job that nobody submitted, or NULL */
   gboolean tiny;
 } UJob;
 
@@ -142,6 +148,7 @@
   gboolean answered;
   gint64 sent;
   guint life; /* of the machine that it was sent to */
+  const FkVersion *v;
 } Call;
 
 /* What a worker is answered, under way. */
@@ -182,6 +189,9 @@
 void item_free(gpointer p);
 void change_free(gpointer p);
 void expire_holds(Sim *m);
+/* The store's limits for values, in bytes, and changes in a transaction, now. */
+gsize value_most(const Sim *m);
+guint ops_most(const Sim *m);
 void notify(Sim *m);
 gboolean refused(Sim *m, int ctl);
 void store_handles(Sim *m, gpointer p);
@@ -218,6 +228,12 @@
 void tiny_ones_come(Sim *m, gpointer p);
 /* Its user calls it off, if there is something to call off. */
 void user_cancels(Sim *m, gpointer job);
+/* Somebody has asked to cancel it, or a job that it needs, directly or through others. */
+gboolean called_off(const UJob *j);
+/* All that it needs is done, truly. */
+gboolean needs_done(const UJob *j);
+void pipelines_come(Sim *m, gpointer p);
+void deep_ones_come(Sim *m, gpointer p);
 /* Odd requests come for as long as the plan says. */
 void odd_requests(Sim *m, gpointer p);
 /* Nobody is forgotten once all troubles are over. */
--- a/src/lab/store.c
+++ b/src/lab/store.c
@@ -42,28 +42,47 @@
   }
 }
 
-static GPtrArray *changes_after(Sim *m, guint64 after_rev) {
-  GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
-  g_autoptr(GHashTable) last = g_hash_table_new(g_str_hash, g_str_equal);
+static GPtrArray *changes_after(Sim *m, const FkVersion *v, guint64 after_rev) {
+  GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)v->event_free);
   guint first = m->history->len;
   while (first && ((Change *)m->history->pdata[first - 1])->stamp > after_rev)
     first--;
   for (guint i = first; i < m->history->len; i++) {
     Change *c = m->history->pdata[i];
-    FkEvent *e = g_new0(FkEvent, 1);
-    e->path = g_strdup(c->path);
-    e->rev.n = c->stamp;
-    if (c->put) {
-      g_autoptr(cJSON) j = fk_json_parse(c->value, strlen(c->value));
-      e->record = fk_store_record_from_json(c->path, j);
-      g_assert_nonnull(e->record);
-    }
-    g_ptr_array_add(events, e);
+    FkEvent *e = v->event(c->path, c->value, c->stamp);
+    g_assert_true(e || v != &fk_version_present);
+    if (e)
+      g_ptr_array_add(events, e);
   }
   return events;
 }
 
-static FkOutcome commit(Sim *m, const FkOut *o, FkRev *epoch, GPtrArray *failed) {
+gsize value_most(const Sim *m) {
+  gboolean fallen = m->plan.limits_at > 0 && m->now >= (gint64)(m->plan.limits_at * 1e6);
+  return (gsize)(1024 * (fallen ? m->s->value_kb : m->s->now_value_kb));
+}
+
+guint ops_most(const Sim *m) {
+  gboolean fallen = m->plan.limits_at > 0 && m->now >= (gint64)(m->plan.limits_at * 1e6);
+  return fallen || !m->plan.now_txn_ops ? m->s->txn_ops : m->plan.now_txn_ops;
+}
+
+/* Refused for its size, whatever the guards say. */
+static gboolean over_limits(Sim *m, const FkVersion *v, const FkOut *o) {
+  gboolean over = o->writes->len > ops_most(m) || o->guards->len > 4 * ops_most(m);
+  for (guint i = 0; i < o->writes->len && !over; i++) {
+    const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
+    g_autoptr(cJSON) j = w->record ? v->record_to_json(w->record) : NULL;
+    g_autofree char *text = j ? fk_json_print(j) : NULL;
+    over = text && strlen(text) > value_most(m);
+    if (over)
+      g_message("WORLD %.3f %s has %zu bytes", m->now / 1e6, w->path, strlen(text));
+  }
+  m->r.over_limits += over && v == &fk_version_present;
+  return over;
+}
+
+static FkOutcome commit(Sim *m, const FkVersion *v, const FkOut *o, FkRev *epoch, GPtrArray *failed) {
   g_autofree char *unguarded = check_txn(o);
   if (unguarded)
     broken(m, "unguarded", unguarded);
@@ -73,8 +92,8 @@
     if ((it ? it->stamp : 0) != g->rev.n)
       g_ptr_array_add(failed, g_strdup(g->path));
   }
-  g_assert_cmpuint(o->writes->len, <=, m->s->txn_ops);
-  g_assert_cmpuint(o->guards->len, <=, 4 * m->s->txn_ops);
+  if (over_limits(m, v, o))
+    return FK_INVALID;
   for (guint i = 0; i < o->writes->len; i++) {
     const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
     if (w->record && w->hold.n && !g_hash_table_contains(m->holds, &w->hold.n))
@@ -89,10 +108,9 @@
   for (guint i = 0; i < o->writes->len; i++) {
     const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
     if (w->record) {
-      g_autoptr(cJSON) j = fk_store_record_to_json(w->record);
+      g_autoptr(cJSON) j = v->record_to_json(w->record);
       Item *it = g_new0(Item, 1);
       *it = (Item){fk_json_print(j), m->epoch, w->hold.n};
-      g_assert_cmpuint(strlen(it->value), <=, (gsize)(m->s->value_kb * 1024));
       record_change(m, w->path, it->value);
       g_hash_table_replace(m->store, g_strdup(w->path), it);
       if (w->record->kind == FK_KEY_LEADER)
@@ -108,7 +126,7 @@
 gboolean refused(Sim *m, int ctl) { return m->now < m->outage || m->now < m->refused_until[ctl]; }
 
 static void watch_answer(Sim *m, Call *c) {
-  answer(c, FK_OK, (FkRev){m->epoch}, changes_after(m, c->out->rev.n), FALSE, NULL);
+  answer(c, FK_OK, (FkRev){m->epoch}, changes_after(m, c->v, c->out->rev.n), FALSE, NULL);
 }
 
 void notify(Sim *m) {
@@ -142,7 +160,9 @@
   guint writes = o->kind == FK_OUT_COMMIT ? o->writes->len : 0;
   m->filled = m->now;
   m->tokens = MIN(m->s->state_rps, m->tokens + s * m->s->state_rps);
-  m->write_tokens = MIN(m->s->state_write_rps, m->write_tokens + s * m->s->state_write_rps);
+  gboolean fallen = m->plan.limits_at > 0 && m->now >= (gint64)(m->plan.limits_at * 1e6);
+  double rate = fallen ? m->s->next_write_rps : m->s->state_write_rps;
+  m->write_tokens = MIN(rate, m->write_tokens + s * rate);
   if (m->plan.budgets && (m->tokens < 1 || (writes && m->write_tokens < writes))) {
     m->r.refused++;
     return FALSE;
@@ -170,7 +190,7 @@
     return;
   }
   expire_holds(m);
-  commit(m, ((Call *)p)->out, &epoch, failed);
+  commit(m, ((Call *)p)->v, ((Call *)p)->out, &epoch, failed);
   notify(m);
 }
 
@@ -190,7 +210,7 @@
       break;
     }
     GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
-    FkOutcome r = commit(m, o, &epoch, failed);
+    FkOutcome r = commit(m, c->v, o, &epoch, failed);
     if (m->now < m->lost_answers_until && touches(o, m->lost_of) && chance(m, m->lost_answers))
       g_ptr_array_unref(failed); /* others see what it wrote; its sender is told nothing */
     else
@@ -201,28 +221,26 @@
   }
   case FK_OUT_GET: {
     Item *it = g_hash_table_lookup(m->store, o->path);
-    GPtrArray *one = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+    GPtrArray *one = g_ptr_array_new_with_free_func((GDestroyNotify)c->v->event_free);
     if (it) {
-      g_autoptr(cJSON) j = fk_json_parse(it->value, strlen(it->value));
-      FkEvent *e = g_new0(FkEvent, 1);
-      *e = (FkEvent){g_strdup(o->path), fk_store_record_from_json(o->path, j), {it->stamp}};
-      g_ptr_array_add(one, e);
+      FkEvent *e = c->v->event(o->path, it->value, it->stamp);
+      if (e)
+        g_ptr_array_add(one, e);
     }
     answer(c, it ? FK_OK : FK_GONE, epoch, one, FALSE, NULL);
     break;
   }
   case FK_OUT_LIST: {
-    GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+    GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)c->v->event_free);
     g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(m->store), (GCompareFunc)g_strcmp0);
     gboolean more = FALSE;
     for (GList *l = keys; l && !more; l = l->next) {
       if (!g_str_has_prefix(l->data, o->path) || g_strcmp0(l->data, o->after) <= 0)
         continue;
       Item *it = g_hash_table_lookup(m->store, l->data);
-      g_autoptr(cJSON) j = fk_json_parse(it->value, strlen(it->value));
-      FkEvent *e = g_new0(FkEvent, 1);
-      *e = (FkEvent){g_strdup(l->data), fk_store_record_from_json(l->data, j), {it->stamp}};
-      g_ptr_array_add(events, e);
+      FkEvent *e = c->v->event(l->data, it->value, it->stamp);
+      if (e)
+        g_ptr_array_add(events, e);
       more = events->len >= (m->plan.up > 50 ? 200 : 7); /* small pages: many of them */
     }
     answer(c, FK_OK, epoch, events, more, NULL);
--- a/src/lab/users.c
+++ b/src/lab/users.c
@@ -1,4 +1,6 @@
 /* The users: what they submit, ask and are told, held against the rules. */
+#include <string.h>
+
 #include "lab/sim.h"
 
 UJob *job_of(Sim *m, const char *id) { return g_hash_table_lookup(m->job_by_id, id); }
@@ -9,6 +11,8 @@
   g_free(j->team);
   g_free(j->zone);
   g_free(j->finished);
+  if (j->needs)
+    g_ptr_array_unref(j->needs);
   g_free(j);
 }
 
@@ -31,9 +35,48 @@
   s->spread = j->spread;
   s->spot = j->spot;
   s->estimate_s = j->shape == FK_SHAPE_SERVICE ? 0 : j->run_s;
+  if (j->needs || j->names) {
+    g_autoptr(GStrvBuilder) b = g_strv_builder_new();
+    for (guint i = 0; j->needs && i < j->needs->len; i++)
+      g_strv_builder_add(b, ((UJob *)j->needs->pdata[i])->id);
+    if (j->names)
+      g_strv_builder_add(b, j->names);
+    s->needs = g_strv_builder_end(b);
+  }
   return s;
 }
 
+gboolean needs_done(const UJob *j) {
+  for (guint i = 0; j->needs && i < j->needs->len; i++) {
+    const UJob *d = j->needs->pdata[i];
+    if (memchr(d->finished, 0, d->tasks))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+/* The first moment at which the user of a job that it needs, directly or through others, was told that it is
+ * cancelled; G_MAXINT64: none was. */
+static gint64 ancestor_told(const UJob *j) {
+  gint64 first = G_MAXINT64;
+  for (guint i = 0; j->needs && i < j->needs->len; i++) {
+    const UJob *d = j->needs->pdata[i];
+    if (d->told_cancelled)
+      first = MIN(first, d->cancelled_at);
+    first = MIN(first, ancestor_told(d));
+  }
+  return first;
+}
+
+gboolean called_off(const UJob *j) {
+  if (j->asked_cancel)
+    return TRUE;
+  for (guint i = 0; j->needs && i < j->needs->len; i++)
+    if (called_off(j->needs->pdata[i]))
+      return TRUE;
+  return FALSE;
+}
+
 static void ask_at(Sim *m, UJob *j, int kind, int i) {
   Ctl *c = &m->ctl[i];
   if (!c->core || apart(m, ctl_zone(i), NULL) || m->now < c->frozen)
@@ -44,13 +87,13 @@
   g_hash_table_insert(m->requests, g_memdup2(&id, sizeof id), r);
   FkTime now = ctl_now(m, i);
   if (kind == SUBMIT)
-    fk_controller_submit(c->core, now, (FkRequest){id}, spec_of(j));
+    c->v->submit(c->core, now, (FkRequest){id}, spec_of(j));
   else if (kind == POLL)
-    fk_controller_get(c->core, now, (FkRequest){id}, j->id);
+    c->v->get(c->core, now, (FkRequest){id}, j->id);
   else if (kind == CANCEL)
-    fk_controller_cancel(c->core, now, (FkRequest){id}, j->id);
+    c->v->cancel(c->core, now, (FkRequest){id}, j->id);
   else
-    fk_controller_get(c->core, now, (FkRequest){id}, "run-999999");
+    c->v->get(c->core, now, (FkRequest){id}, "run-999999");
   drain(m, i);
 }
 
@@ -100,8 +143,8 @@
   }
   if (o->status == 404 && j->accepted && r->sent.us > j->accepted_at)
     broken(m, "forgotten", j->id);
-  if (r->kind == SUBMIT && (o->status == 400 || o->status == 422) && j->accepted)
-    broken(m, "forgotten", j->id);
+  if (r->kind == SUBMIT && (o->status == 400 || o->status == 422))
+    broken(m, j->accepted ? "forgotten" : "refused, and could run", j->id);
   if (o->status != 200 && o->status != 201)
     return;
   j->answered_at = m->now;
@@ -124,7 +167,7 @@
     j->told_done = TRUE;
   }
   if (o->phase == FK_PHASE_CANCELLED) {
-    if (!j->asked_cancel)
+    if (!called_off(j))
       broken(m, "went_back", j->id);
     if (!j->told_cancelled) {
       g_debug("WORLD %.3f the user of %s is told that it is cancelled", m->now / 1e6, j->id);
@@ -133,7 +176,11 @@
       look_closely(m, j);
     }
     j->told_cancelled = TRUE;
-  }
+  } /* withdrawn with a job that it needs, within cancel_s of that one's user being told */
+  gint64 told = j->needs ? ancestor_told(j) : G_MAXINT64;
+  if (told != G_MAXINT64 && (o->phase == FK_PHASE_QUEUED || o->phase == FK_PHASE_RUNNING) &&
+      r->sent.us > told + (gint64)(m->s->cancel_s * 1e6))
+    broken(m, "orphaned", j->id);
   /* an answer to a question asked before the user was told may still be the older one */
   if ((told_done && o->phase != FK_PHASE_DONE) || (told_cancelled && o->phase != FK_PHASE_CANCELLED))
     broken(m, "went_back", j->id);
@@ -148,8 +195,22 @@
   ask(m, j, CANCEL);
 }
 
+/* A user names only what was accepted; some wait until it is over. */
+static gboolean may_be_submitted(const UJob *j) {
+  for (guint i = 0; j->needs && i < j->needs->len; i++) {
+    const UJob *d = j->needs->pdata[i];
+    if (!d->accepted || (j->waits_for_ends && !d->told_done && !d->told_cancelled))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static void user_acts(Sim *m, gpointer p) {
   UJob *j = p;
+  if (!j->accepted && !may_be_submitted(j)) {
+    after(m, between(m, 0.01, 0.3), user_acts, j);
+    return;
+  }
   if (!j->accepted)
     ask(m, j, SUBMIT);
   else if (j->asked_cancel && !j->told_cancelled && !j->told_done)
@@ -270,7 +331,8 @@
   else if (j && j->told_done)
     ask(m, j, CANCEL); /* of what is done: it stays done */
   j = new_job(m);
-  guint kind = (guint)g_rand_int_range(m->rand, 0, 4);
+  guint kind = (guint)g_rand_int_range(
+      m->rand, 0, m->plan.chains > 0 && m->now >= (gint64)(m->plan.chains_from * 1e6) ? 5 : 4);
   j->impossible = TRUE;
   j->team = g_strdup(kind == 1 ? "nobody" : "red");
   j->class_name = "odd";
@@ -279,6 +341,7 @@
   j->tasks = kind == 3 ? 100000 : 1;
   j->cpus = kind == 0 ? 8.5 : 1;
   j->zone = kind == 2 ? g_strdup("nowhere") : NULL;
+  j->names = kind == 4 ? "run-999998" : NULL;
   j->finished = g_new0(guint8, j->tasks);
   ask(m, j, SUBMIT);
   after(m, ODD_EVERY_S, odd_requests, NULL);
@@ -305,6 +368,72 @@
     after(m, 1 / m->plan.tiny, tiny_ones_come, NULL);
 }
 
+static UJob *stage(Sim *m, const char *class_name, guint32 tasks, double run_s, FkRank rank,
+                   GPtrArray *needs) {
+  UJob *j = new_job(m);
+  j->team = g_strdup(chance(m, 0.5) ? "red" : "blue");
+  j->class_name = class_name;
+  j->rank = rank;
+  j->shape = FK_SHAPE_ARRAY;
+  j->tasks = tasks;
+  j->cpus = 1;
+  j->spot = TRUE;
+  j->run_s = run_s;
+  j->needs = needs;
+  j->finished = g_new0(guint8, tasks);
+  return j;
+}
+
+static GPtrArray *list_of(UJob *a, UJob *b) {
+  GPtrArray *l = g_ptr_array_new();
+  g_ptr_array_add(l, a);
+  if (b)
+    g_ptr_array_add(l, b);
+  return l;
+}
+
+/* First -> two wide ones -> third -> last, which needs the first as well; sometimes one that runs already. */
+void pipelines_come(Sim *m, gpointer p) {
+  UJob *earlier = m->jobs->len ? m->jobs->pdata[g_rand_int_range(m->rand, 0, (gint)m->jobs->len)] : NULL;
+  if (earlier && (earlier->shape != FK_SHAPE_ARRAY || earlier->impossible || !chance(m, 0.4)))
+    earlier = NULL;
+  UJob *s[5];
+  s[0] = stage(m, "first", 3, between(m, 1, 6), FK_RANK_LOW, earlier ? list_of(earlier, NULL) : NULL);
+  s[1] = stage(m, "wide", 12, between(m, 2, 8), FK_RANK_LOW, list_of(s[0], NULL));
+  s[2] = stage(m, "wide", 6, between(m, 2, 8), FK_RANK_LOW, list_of(s[0], NULL));
+  s[3] = stage(m, "third", 2, between(m, 1, 6), FK_RANK_NORMAL, list_of(s[1], s[2]));
+  s[4] = stage(m, "last", 2, between(m, 1, 4), FK_RANK_HIGH, list_of(s[0], s[3]));
+  s[4]->waits_for_ends = chance(m, 0.15);
+  for (guint i = 0; i < 5; i++)
+    user_acts(m, s[i]);
+  if (chance(m, 0.2))
+    after(m, between(m, 0.2, 40), user_cancels, s[g_rand_int_range(m->rand, 0, 5)]);
+  if (m->now < (gint64)((m->plan.submit_s > 0 ? m->plan.submit_s : m->plan.seconds * 0.6) * 1e6))
+    after(m, between(m, 0.5, 1.5) / m->plan.chains, pipelines_come, NULL);
+}
+
+/* Each needs the one before it; and many that need one. */
+void deep_ones_come(Sim *m, gpointer p) {
+  UJob *last = NULL;
+  for (guint i = 0; i < m->plan.deep; i++) {
+    UJob *j = stage(m, "deep", 1, i ? 1 : 60, FK_RANK_NORMAL, last ? list_of(last, NULL) : NULL);
+    user_acts(m, j);
+    if (!i && m->plan.cancel_deep_s > 0)
+      after(m, m->plan.cancel_deep_s - 5, user_cancels, j);
+    last = j;
+  }
+  UJob *first = m->plan.fan ? stage(m, "deep", 1, 60, FK_RANK_NORMAL, NULL) : NULL;
+  if (first) {
+    user_acts(m, first);
+    if (m->plan.cancel_deep_s > 0)
+      after(m, m->plan.cancel_deep_s - 5, user_cancels, first);
+  }
+  for (guint i = 0; i < m->plan.fan; i++) {
+    UJob *j = stage(m, "deep", 1, 2, FK_RANK_NORMAL, list_of(first, NULL));
+    after(m, between(m, 0, 0.02 * m->plan.fan), user_acts, j);
+  }
+}
+
 #define FORGOTTEN_S 75.0
 #define LEFT_WAITING_S ((double)ROOM_KEPT)
 
@@ -402,7 +531,7 @@
   }
   for (guint i = 0; i < m->jobs->len; i++) {
     UJob *j = m->jobs->pdata[i];
-    if (!j->accepted || j->asked_cancel || j->faulty || j->impossible)
+    if (!j->accepted || called_off(j) || j->faulty || j->impossible || !needs_done(j))
       continue;
     guint done = 0;
     for (guint t = 0; t < j->tasks; t++)
@@ -447,7 +576,7 @@
       m->r.silence_s = MAX(m->r.silence_s, (double)(m->now - waits) / 1e6);
     if (m->now - waits > (gint64)(FORGOTTEN_S * 1e6))
       broken(m, "forgotten, no answer", j->id);
-    if (j->asked_cancel || j->faulty)
+    if (called_off(j) || j->faulty || j->needs)
       continue;
     gint64 until = j->began_at ? j->began_at : m->now;
     if (j->large)
@@ -497,7 +626,7 @@
     double due = 0, served = 0;
     for (guint i = 0; i < m->jobs->len; i++) {
       const UJob *j = m->jobs->pdata[i];
-      if (!g_str_equal(j->class_name, names[k]) || !j->accepted || j->asked_cancel ||
+      if (!g_str_equal(j->class_name, names[k]) || !j->accepted || called_off(j) ||
           m->now < j->accepted_at + 60000000)
         continue;
       guint done = 0;
--- a/src/lab/workers.c
+++ b/src/lab/workers.c
@@ -95,6 +95,8 @@
   g_autofree char *key = truth_key(t);
   if (g_hash_table_contains(m->truth, key))
     broken(m, "ran_twice", key);
+  if (!needs_done(j))
+    broken(m, "too_early", key);
   if ((w->spot && !j->spot) || (j->zone && !g_str_equal(j->zone, w->zone)))
     broken(m, "wrong_place", key);
   double used = j->cpus;
@@ -322,7 +324,7 @@
     fk_report_free(report);
     return;
   }
-  fk_controller_report(m->ctl[i].core, ctl_now(m, i), (FkRequest){++m->next_req}, report);
+  m->ctl[i].v->report(m->ctl[i].core, ctl_now(m, i), (FkRequest){++m->next_req}, report);
   drain(m, i);
 }
 
@@ -336,7 +338,7 @@
   if (waits_for_frozen(m, k->ctl, kept_arrives, k))
     return;
   if (m->ctl[k->ctl].core) {
-    fk_controller_report(m->ctl[k->ctl].core, ctl_now(m, k->ctl), (FkRequest){++m->next_req}, k->report);
+    m->ctl[k->ctl].v->report(m->ctl[k->ctl].core, ctl_now(m, k->ctl), (FkRequest){++m->next_req}, k->report);
     drain(m, k->ctl);
   } else {
     fk_report_free(k->report);
@@ -364,7 +366,7 @@
     guint64 id = ++m->next_req;
     g_hash_table_insert(m->requests, g_memdup2(&id, sizeof id), h->req);
     gint64 began = core_begins(m);
-    fk_controller_report(c->core, ctl_now(m, h->ctl), (FkRequest){id}, h->report);
+    c->v->report(c->core, ctl_now(m, h->ctl), (FkRequest){id}, h->report);
     core_ends(m, began);
     drain(m, h->ctl);
   } else {
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -1,5 +1,6 @@
 #include "lab/sim.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "lab/check_view.h"
@@ -72,6 +73,7 @@
   }
   c->answered = TRUE;
   FkController *core = m->ctl[c->ctl].core;
+  const FkVersion *v = c->v;
   FkTime now = ctl_now(m, c->ctl);
   FkTime sent = ctl_time(m, c->ctl, c->sent);
   g_autoptr(GPtrArray) empty = g_ptr_array_new();
@@ -79,7 +81,7 @@
   gint64 began = core_begins(m);
   switch (c->out->kind) {
   case FK_OUT_COMMIT:
-    fk_controller_committed(core, now, c->out->call, o, epoch, l);
+    v->committed(core, now, c->out->call, o, epoch, l);
     break;
   case FK_OUT_GET: {
     FkEvent *e = NULL;
@@ -87,40 +89,40 @@
       e = l->pdata[0];
       g_ptr_array_set_free_func(l, NULL);
     }
-    fk_controller_got(core, now, c->out->call, o, e);
+    v->got(core, now, c->out->call, o, e);
     break;
   }
   case FK_OUT_LIST:
-    fk_controller_listed(core, now, o, l, more, epoch);
+    v->listed(core, now, o, l, more, epoch);
     break;
   case FK_OUT_WATCH:
-    fk_controller_watched(core, now, o, l, epoch, sent);
+    v->watched(core, now, o, l, epoch, sent);
     /* what is kept by difference must be what a full look gives; a full look takes long where there is much
      */
-    if (m->order % (m->plan.up > 100 ? 97 : 11) == 0)
+    if (v == &fk_version_present && m->order % (m->plan.up > 100 ? 97 : 11) == 0)
       check_view(fk_controller_view(core));
     break;
   case FK_OUT_HOLD_NEW:
-    fk_controller_held(core, now, o, epoch, sent);
+    v->held(core, now, o, epoch, sent);
     break;
   case FK_OUT_HOLD_RENEW:
-    fk_controller_renewed(core, now, o, sent);
+    v->renewed(core, now, o, sent);
     break;
   case FK_OUT_COMMANDS:
-    fk_controller_commanded(core, now, c->out->call, o, report);
+    v->commanded(core, now, c->out->call, o, report);
     report = NULL;
     break;
   case FK_OUT_TYPES:
-    fk_controller_types(core, now, o, l);
+    v->types(core, now, o, l);
     break;
   case FK_OUT_MACHINES:
-    fk_controller_machines(core, now, o, l, more);
+    v->machines(core, now, o, l, more);
     break;
   case FK_OUT_RENT:
-    fk_controller_rented(core, now, c->out->call, o, l);
+    v->rented(core, now, c->out->call, o, l);
     break;
   default:
-    fk_controller_returned(core, now, c->out->call, o);
+    v->returned(core, now, c->out->call, o);
   }
   core_ends(m, began);
   fk_report_free(report);
@@ -174,8 +176,6 @@
   after(m, apart(m, ctl_zone(c->ctl), w ? w->zone : NULL) ? until_healed(m) : s, answer_arrives, a);
 }
 
-static FkSettings *named[N_MAX];
-
 /* Controllers ask each other what they have seen of the store. */
 static void peer_asked(Sim *m, gpointer p) {
   Call *c = p;
@@ -186,10 +186,10 @@
       m->now < m->peers_refuse_until || m->now < MAX(m->ctl[to].cut_peers, m->ctl[c->ctl].cut_peers) ||
       m->now < m->ctl[to].frozen || m->now < m->ctl[c->ctl].frozen)
     return;
-  const char *life = fk_controller_seen(m->ctl[to].core, ctl_now(m, to), &seen, &applied, &age_s);
+  const char *life = m->ctl[to].v->seen(m->ctl[to].core, ctl_now(m, to), &seen, &applied, &age_s);
   c->answered = TRUE;
-  fk_controller_peer(m->ctl[c->ctl].core, ctl_now(m, c->ctl), c->out->name, life, seen, applied, age_s,
-                     ctl_time(m, c->ctl, c->sent));
+  c->v->peer(m->ctl[c->ctl].core, ctl_now(m, c->ctl), c->out->name, life, seen, applied, age_s,
+             ctl_time(m, c->ctl, c->sent));
   drain(m, c->ctl);
 }
 
@@ -197,7 +197,7 @@
 
 static void to_store(Sim *m, int i, Call *c) {
   if (c->out->kind == FK_OUT_COMMIT)
-    fk_controller_sent(m->ctl[i].core, ctl_now(m, i), c->out->call);
+    c->v->sent(m->ctl[i].core, ctl_now(m, i), c->out->call);
   double d = between(m, 0.001, 0.006) * (m->now < m->slow_until ? m->slow : 1) + c->out->delay_s;
   if (apart(m, ctl_zone(i), NULL))
     d = until_healed(m);
@@ -212,9 +212,9 @@
 
 void drain(Sim *m, int i) {
   FkOut *o;
-  while (m->ctl[i].core && (o = fk_controller_next(m->ctl[i].core))) {
+  while (m->ctl[i].core && (o = m->ctl[i].v->next(m->ctl[i].core))) {
     Call *c = g_new0(Call, 1);
-    *c = (Call){m, i, m->ctl[i].gen, o, FALSE, m->now};
+    *c = (Call){m, i, m->ctl[i].gen, o, FALSE, m->now, .v = m->ctl[i].v};
     if (o->kind == FK_OUT_WATCH)
       c->sent = m->now + (gint64)(o->delay_s * 1e6);
     g_ptr_array_add(m->calls, c);
@@ -275,11 +275,78 @@
   }
 }
 
+/* When it is killed to come back with the present version. */
+static gint64 upgraded_at(const Sim *m, int i) {
+  return (gint64)((m->plan.roll_at + i * m->plan.roll_every_s) * 1e6);
+}
+
+static cJSON *peer_json(int i) {
+  cJSON *o = cJSON_CreateObject();
+  g_autofree char *name = g_strdup_printf("c-%d", i);
+  cJSON_AddStringToObject(o, "node", name);
+  cJSON_AddStringToObject(o, "site", ctl_zone(i));
+  return o;
+}
+
+/* What the platform hands a controller, whatever its version. */
+static char *settings_text(const Sim *m, int i) {
+  const FkSettings *s = m->s;
+  g_autoptr(cJSON) o = peer_json(i);
+  cJSON_AddStringToObject(o, "serve_on", "127.0.0.1:8080");
+  cJSON_AddStringToObject(o, "mesh_addr", "127.0.0.1:8081");
+  cJSON *seeds = cJSON_AddArrayToObject(o, "seeds"), *out = cJSON_AddObjectToObject(o, "outside"),
+        *d = cJSON_AddObjectToObject(o, "deployment"), *zones = cJSON_AddArrayToObject(d, "zones"),
+        *teams = cJSON_AddArrayToObject(d, "teams"), *w = cJSON_AddObjectToObject(d, "workers"),
+        *st = cJSON_AddObjectToObject(d, "state"), *cl = cJSON_AddObjectToObject(d, "cloud");
+  for (int k = 0; k < m->n; k++)
+    if (k != i) {
+      cJSON *p = peer_json(k);
+      cJSON_AddStringToObject(p, "peer_addr", "127.0.0.1:1");
+      cJSON_AddItemToArray(seeds, p);
+    }
+  cJSON_AddStringToObject(out, "cloud", "127.0.0.1:2");
+  cJSON_AddStringToObject(out, "state", "127.0.0.1:3");
+  cJSON_AddItemToArray(zones, cJSON_CreateString("north"));
+  cJSON_AddItemToArray(zones, cJSON_CreateString("south"));
+  for (guint t = 0; t < s->teams->len; t++) {
+    const FkTeam *team = s->teams->pdata[t];
+    cJSON *j = cJSON_CreateObject();
+    cJSON_AddStringToObject(j, "name", team->name);
+    cJSON_AddNumberToObject(j, "cpus", team->cpus);
+    cJSON_AddNumberToObject(j, "cpus_max", isfinite(team->cpus_max) ? team->cpus_max : 0);
+    cJSON_AddNumberToObject(j, "gpus", team->gpus);
+    cJSON_AddNumberToObject(j, "gpus_max", isfinite(team->gpus_max) ? team->gpus_max : 0);
+    cJSON_AddItemToArray(teams, j);
+  }
+  cJSON_AddNumberToObject(w, "report_s", s->report_s);
+  cJSON_AddNumberToObject(w, "lease_s", s->lease_s);
+  cJSON_AddNumberToObject(w, "cancel_s", s->cancel_s);
+  cJSON_AddNumberToObject(st, "rps", s->state_rps);
+  cJSON_AddNumberToObject(st, "write_rps", s->state_write_rps);
+  cJSON_AddNumberToObject(st, "value_kb", s->now_value_kb);
+  cJSON_AddNumberToObject(st, "txn_ops", m->plan.now_txn_ops ? m->plan.now_txn_ops : s->txn_ops);
+  cJSON *next = cJSON_AddObjectToObject(st, "next");
+  cJSON_AddNumberToObject(next, "write_rps", s->next_write_rps);
+  cJSON_AddNumberToObject(next, "value_kb", s->value_kb);
+  cJSON_AddNumberToObject(next, "txn_ops", s->txn_ops);
+  cJSON_AddBoolToObject(next, "not_known_yet", TRUE);
+  cJSON_AddNumberToObject(cl, "rps", s->cloud_rps);
+  cJSON_AddNumberToObject(cl, "list_lag_s", s->list_lag_s);
+  return fk_json_print(o);
+}
+
 static void start(Sim *m, gpointer p) {
   int i = GPOINTER_TO_INT(p);
   Ctl *c = &m->ctl[i];
   g_autofree char *life = g_strdup_printf("life%u", ++c->starts);
-  c->core = fk_controller_new(named[i], life, (guint32)g_rand_int(m->rand), ctl_now(m, i));
+  c->v = m->plan.before && m->now < upgraded_at(m, i) ? m->plan.before : &fk_version_present;
+  g_clear_pointer(&c->settings, c->settings_free);
+  g_autofree char *text = settings_text(m, i),
+                  *wishes = g_strdup_printf("{\"tell_after_s\":%g}", m->s->tuning.tell_after_s);
+  c->settings = c->v->settings(text, wishes);
+  c->settings_free = c->v->settings_free;
+  g_assert_nonnull(c->settings);
+  c->core = c->v->start(c->settings, life, (guint32)g_rand_int(m->rand), ctl_now(m, i));
 }
 
 static void ends_again(Sim *m, gpointer p) { crash(m, GPOINTER_TO_INT(p)); }
@@ -288,7 +355,7 @@
   Ctl *c = &m->ctl[i];
   if (!c->core)
     return;
-  fk_controller_free(c->core);
+  c->v->free(c->core);
   c->core = NULL;
   c->frozen = 0;
   c->gen++;
@@ -302,7 +369,7 @@
   int i = GPOINTER_TO_INT(p);
   if (m->ctl[i].core && m->now >= m->ctl[i].frozen) {
     gint64 began = core_begins(m);
-    fk_controller_tick(m->ctl[i].core, ctl_now(m, i), m->now + 5000000);
+    m->ctl[i].v->tick(m->ctl[i].core, ctl_now(m, i), m->now + 5000000);
     core_ends(m, began);
     drain(m, i);
   }
@@ -352,34 +419,10 @@
   m->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
   m->truth = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   for (int i = 0; i < m->n; i++) {
-    named[i] = fk_settings_new();
-    named[i]->node = g_strdup_printf("c-%d", i);
-    named[i]->zone = g_strdup(ctl_zone(i));
-    for (int k = 0; k < m->n; k++)
-      if (k != i) {
-        FkPeer *p = g_new0(FkPeer, 1);
-        *p = (FkPeer){g_strdup_printf("c-%d", k), g_strdup(ctl_zone(k)), g_strdup("127.0.0.1:1")};
-        g_ptr_array_add(named[i]->peers, p);
-      }
-    for (guint t = 0; t < s->teams->len; t++) {
-      FkTeam *team = g_memdup2(s->teams->pdata[t], sizeof(FkTeam));
-      team->name = g_strdup(team->name);
-      g_ptr_array_add(named[i]->teams, team);
-    }
-    g_ptr_array_add(named[i]->zones, g_strdup("north"));
-    g_ptr_array_add(named[i]->zones, g_strdup("south"));
-    named[i]->report_s = s->report_s;
-    named[i]->lease_s = s->lease_s;
-    named[i]->cancel_s = s->cancel_s;
-    named[i]->tuning.tell_after_s = s->tuning.tell_after_s;
-    named[i]->state_rps = s->state_rps;
-    named[i]->state_write_rps = s->state_write_rps;
-    named[i]->value_kb = s->value_kb;
-    named[i]->txn_ops = s->txn_ops;
-    named[i]->cloud_rps = s->cloud_rps;
-    named[i]->list_lag_s = s->list_lag_s;
     start(m, GINT_TO_POINTER(i));
     after(m, 0.01 * i, tick, GINT_TO_POINTER(i));
+    if (plan->before)
+      after(m, (double)upgraded_at(m, i) / 1e6, ends_again, GINT_TO_POINTER(i));
   }
   for (guint i = 0; i < MAX(3, plan->up); i++)
     new_worker(m, i % 3 ? "north" : "south", i % 3 == 2, 0.5);
@@ -393,6 +436,10 @@
       after(m, 15, guests_come, NULL);
     if (plan->large)
       after(m, 15, large_ones_come, NULL);
+    if (plan->chains > 0)
+      after(m, MAX(5, plan->chains_from), pipelines_come, NULL);
+    if (plan->deep || plan->fan)
+      after(m, MAX(5, plan->chains_from), deep_ones_come, NULL);
     if (plan->tiny > 0)
       after(m, 15, tiny_ones_come, NULL);
     if (plan->n_faults)
@@ -411,7 +458,9 @@
     UJob *j = m->jobs->pdata[i];
     m->r.done += j->told_done;
     m->r.cancelled += j->told_cancelled;
-    if (j->accepted && j->shape != FK_SHAPE_SERVICE && !j->told_done && !j->asked_cancel) {
+    m->r.chained += j->needs && j->told_done;
+    m->r.withdrawn += j->needs && j->told_cancelled && !j->asked_cancel;
+    if (j->accepted && j->shape != FK_SHAPE_SERVICE && !j->told_done && !called_off(j)) {
       m->r.unfinished++;
       g_message("unfinished: %s shape %d tasks %u", j->id, j->shape, j->tasks);
     }
@@ -426,11 +475,12 @@
   }
   SimResult r = m->r;
   for (int i = 0; i < m->n; i++) {
-    fk_controller_free(m->ctl[i].core);
-    fk_settings_free(named[i]);
+    if (m->ctl[i].core)
+      m->ctl[i].v->free(m->ctl[i].core);
+    g_clear_pointer(&m->ctl[i].settings, m->ctl[i].settings_free);
   }
   for (guint i = 0; i < m->calls->len; i++) {
-    fk_out_free(((Call *)m->calls->pdata[i])->out);
+    ((Call *)m->calls->pdata[i])->v->out_free(((Call *)m->calls->pdata[i])->out);
     g_free(m->calls->pdata[i]);
   }
   g_ptr_array_unref(m->calls);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -2,8 +2,7 @@
  * workers and the users, all after PROTOCOL. Messages may be slow, lost or late; processes and machines may
  * die or hang. The rules are checked at every step against what truly happens on the machines. */
 #pragma once
-#include "core/controller.h"
-
+#include "lab/version.h"
 typedef struct Sim Sim;
 
 /* A trouble of the plan, beside those that come by chance. Durations in simulated seconds; a crash, a death
@@ -76,6 +75,16 @@
   gboolean large; /* one job of each kind that is hard to place, under a stream of small ones */
   double tiny;    /* one-task jobs a second, a quarter of them cancelled */
   double boot_s;  /* rented machines are up within this; 0: 1 to 8 s */
+  double chains_from;      /* pipelines, and odd ones that need others, come from then on */
+  double chains;           /* pipelines of four stages a second, a fifth of them called off somewhere */
+  guint deep;              /* one chain of so many jobs, ... */
+  guint fan;               /* ... and one job that so many need */
+  const FkVersion *before; /* all begin with it, and come back with the present one from `roll_at` on, one by
+one; who ends before its turn comes back as it was. NULL: all are of the present */
+  double roll_at, roll_every_s;
+  guint now_txn_ops;      /* until the limits fall; 0: as the settings have them */
+  double limits_at;       /* the store's limits fall to the next ones; 0: never */
+  double cancel_deep_s;   /* the first of both is cancelled then; 0: never */
   const SimFault *faults; /* by the plan alone; nothing else goes wrong by itself */
   guint n_faults;
   double run_s;    /* tasks run for 0.5 to 1.5 times this; 0: 1 to 15 s */
@@ -115,9 +124,13 @@
   double large_s;   /* ... a large one, troubles or not */
   double room_s; /* the longest that a job waited, once all troubles were over, while a machine that fits had
                     room and its team was under its limit */
-  double at_limit;            /* the most that a team with a limit used of it, as a share */
-  guint looks;                /* questions just after something was told */
-  guint odd;                  /* odd requests that were answered */
+  double at_limit; /* the most that a team with a limit used of it, as a share */
+  guint looks;     /* questions just after something was told */
+  guint odd;       /* odd requests that were answered */
+  guint chained,
+      withdrawn; /* jobs that need others: done, told to be withdrawn though nobody cancelled them */
+  guint
+      over_limits; /* transactions of the present version that were larger than the limits of their moment */
   guint live_jobs, live_keys; /* at the end: jobs' records, all records below fk/l/ */
   char *broken;               /* the first broken rule, or NULL */
   SimRecovery recovery;
--- /dev/null
+++ b/test/test_chains.c
@@ -0,0 +1,316 @@
+/* Jobs that need others, at one controller core fed by hand: what is answered before the view has what
+ * anybody can have been told, what is accepted and when, and that only a committed final releases a job. Each
+ * case fails with its guard taken out (docs/chains.md). */
+#include <string.h>
+
+#include "rig.h"
+#include "wire/store.h"
+
+#define NEEDS(id)                                                                                            \
+  "{\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":3,\"tasks\":1,\"cpus\":2,\"gpus\":0,\"mem\":2,"    \
+  "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,"       \
+  "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16,\"needs\":[\"" id "\"]}"
+#define CANCELLED                                                                                            \
+  "{\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":2,\"tasks\":4,\"cpus\":2,\"gpus\":0,\"mem\":2,"    \
+  "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,"       \
+  "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16,\"cancelled\":true}"
+
+static void forget_outs(Rig *r) { g_ptr_array_set_size(r->outs, 0); }
+
+static FkOut *answer_to(Rig *r, guint64 request) {
+  for (guint i = 0; i < r->outs->len; i++) {
+    FkOut *o = r->outs->pdata[i];
+    if (o->kind == FK_OUT_ANSWER && o->request.n == request)
+      return o;
+  }
+  return NULL;
+}
+
+/* The store has carried out, or refused, the latest transaction, at this revision. */
+static void committed(Rig *r, FkOutcome o, guint64 epoch, const char *failed) {
+  guint64 call = find(r, FK_OUT_COMMIT, NULL)->call;
+  g_autoptr(GPtrArray) list = g_ptr_array_new();
+  if (failed)
+    g_ptr_array_add(list, (gpointer)failed);
+  forget_outs(r);
+  fk_controller_committed(r->c, r->now, call, o, (FkRev){epoch}, list);
+  pump(r);
+}
+
+/* The watch says that a record is gone. */
+static void gone(Rig *r, const char *path) {
+  g_autoptr(GPtrArray) events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+  FkEvent *e = g_new0(FkEvent, 1);
+  e->path = g_strdup(path);
+  e->rev.n = ++r->epoch;
+  g_ptr_array_add(events, e);
+  fk_controller_watched(r->c, r->now, FK_OK, events, (FkRev){r->epoch}, r->now);
+  pump(r);
+}
+
+static Rig *with_fences(void) {
+  Rig *r = rig_new(TRUE);
+  watched(r, (const char *const[]){"fk/l/f/c-0", "{\"chains\":true}", "fk/l/f/c-1", "{\"chains\":true}",
+                                   "fk/l/f/c-2", "{\"chains\":true}", NULL});
+  return r;
+}
+
+static FkSpec *spec(const char *id, const char *const *needs) {
+  FkSpec *s = fk_spec_new();
+  s->id = g_strdup(id);
+  s->class_name = g_strdup("c");
+  s->team = g_strdup("red");
+  s->image = g_strdup("i");
+  s->rank = FK_RANK_NORMAL;
+  s->tasks = 1;
+  s->cpus = 1;
+  s->mem_gb = 1;
+  s->needs = needs ? g_strdupv((char **)needs) : NULL;
+  return s;
+}
+
+/* Another controller cancelled what the job needs, and told so; our view lacks it. The comparison of the
+ * job's own record finds nothing: `queued` would be older than `withdrawn`, which its user may have been told
+ * elsewhere. */
+static void test_settles(void) {
+  Rig *r = with_fences();
+  watched(r, (const char *const[]){"fk/l/j/run-2", NEEDS("run-1"), NULL});
+  forget_outs(r);
+  fk_controller_get(r->c, r->now, (FkRequest){300}, "run-2");
+  pump(r);
+  committed(r, FK_OK, r->epoch + 1, NULL);
+  g_assert_null(answer_to(r, 300));
+  watched(r, (const char *const[]){"fk/l/j/run-1", CANCELLED, NULL});
+  g_assert_nonnull(answer_to(r, 300));
+  g_assert_cmpint(answer_to(r, 300)->phase, ==, FK_PHASE_CANCELLED);
+  rig_free(r);
+}
+
+/* ... and a view that doesn't get there says nothing. */
+static void test_settles_or_503(void) {
+  Rig *r = with_fences();
+  watched(r, (const char *const[]){"fk/l/j/run-2", NEEDS("run-1"), NULL});
+  forget_outs(r);
+  fk_controller_get(r->c, r->now, (FkRequest){300}, "run-2");
+  pump(r);
+  committed(r, FK_OK, r->epoch + 1, NULL);
+  tick(r, 1.0);
+  g_assert_cmpint(answer_to(r, 300)->status, ==, 503);
+  rig_free(r);
+}
+
+/* Results, chunks and pages of ends release nobody: the final does. */
+static void test_only_the_final(void) {
+  Rig *r = with_fences();
+  watched(r, (const char *const[]){"fk/l/j/run-2", NEEDS("run-1"), NULL});
+  FkJob *j = fk_view_job(fk_controller_view(r->c), "run-2");
+  watched(
+      r, (const char *const[]){"fk/l/t/run-1/00000", "{\"f\":0,\"n\":4,\"a\":5,\"d\":\"f\",\"b\":[]}", NULL});
+  g_assert_cmpuint(fk_job_waiting(j), ==, 0);
+  gone(r, "fk/l/j/run-1");
+  g_assert_cmpuint(fk_job_waiting(j), ==, 0);
+  watched(r, (const char *const[]){"fk/d/run-1", "{\"phase\":2,\"tasks\":4}", NULL});
+  g_assert_cmpuint(fk_job_waiting(j), ==, 1);
+  rig_free(r);
+}
+
+/* What ended before the view began is read, once; until then nothing is said of who needs it. */
+static void test_reads_ends(void) {
+  Rig *r = with_fences();
+  watched(r, (const char *const[]){"fk/l/j/run-2", NEEDS("run-9"), "fk/l/j/run-3", NEEDS("run-9"), NULL});
+  forget_outs(r);
+  fk_controller_get(r->c, r->now, (FkRequest){300}, "run-2");
+  pump(r);
+  committed(r, FK_OK, r->epoch, NULL);
+  tick(r, 0.3);
+  g_assert_cmpint(answer_to(r, 300)->status, ==, 503);
+  guint reads = 0;
+  guint64 call = 0;
+  for (guint i = 0; i < r->outs->len; i++) {
+    const FkOut *o = r->outs->pdata[i];
+    if (o->kind == FK_OUT_GET && g_str_equal(o->path, "fk/d/run-9")) {
+      reads++;
+      call = o->call;
+    }
+  }
+  g_assert_cmpuint(reads, ==, 1);
+  const char *final = "{\"phase\":3,\"tasks\":0}";
+  FkEvent *e = g_new0(FkEvent, 1);
+  g_autoptr(cJSON) value = fk_json_parse(final, strlen(final));
+  *e = (FkEvent){g_strdup("fk/d/run-9"), fk_store_record_from_json("fk/d/run-9", value), {5}};
+  fk_controller_got(r->c, r->now, call, FK_OK, e);
+  pump(r);
+  forget_outs(r);
+  fk_controller_get(r->c, r->now, (FkRequest){301}, "run-3");
+  pump(r);
+  g_assert_cmpint(answer_to(r, 301)->phase, ==, FK_PHASE_CANCELLED);
+  rig_free(r);
+}
+
+/* One fence without the word, of a controller that lives or not, and nothing with dependencies is accepted.
+ */
+static void test_fences(void) {
+  for (guint missing = 0; missing < 4; missing++) {
+    Rig *r = rig_new(TRUE);
+    for (guint i = 0; i < 3; i++) {
+      g_autofree char *path = g_strdup_printf("fk/l/f/c-%u", i);
+      watched(r, (const char *const[]){path, i == missing ? "{}" : "{\"chains\":true}", NULL});
+    }
+    forget_outs(r);
+    fk_controller_submit(r->c, r->now, (FkRequest){300}, spec("run-5", (const char *const[]){"run-1", NULL}));
+    fk_controller_submit(r->c, r->now, (FkRequest){301}, spec("run-6", NULL));
+    pump(r);
+    g_assert_nonnull(find(r, FK_OUT_COMMIT, "fk/l/j/run-6"));
+    g_assert_cmpint(find(r, FK_OUT_COMMIT, "fk/l/j/run-5") != NULL, ==, missing == 3);
+    if (missing < 3)
+      g_assert_cmpint(answer_to(r, 300)->status, ==, 503);
+    rig_free(r);
+  }
+}
+
+/* Accepting: what the store is asked, and what is said of it. */
+static void test_accepting(void) {
+  static const struct {
+    const char *name, *needs, *failed; /* what the store has of what it was asked about; NULL: nothing */
+    int status;                        /* 0: it goes on */
+    gboolean asks;                     /* the store is compared with first */
+  } cases[] = {
+      {"a live one", "run-1", NULL, 0, FALSE},
+      {"one that is done needs nothing", "run-7", NULL, 0, FALSE},
+      {"itself", "run-5", NULL, 422, FALSE},
+      {"a service", "run-8", NULL, 422, FALSE},
+      {"nobody's", "run-9", NULL, 422, TRUE},
+      {"one that our view lacks yet", "run-9", "fk/l/j/run-9", 0, TRUE},
+      {"one that has ended", "run-9", "fk/d/run-9", 0, TRUE},
+      {"it was accepted itself", "run-9", "fk/l/j/run-5", 0, TRUE},
+  };
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    Rig *r = with_fences();
+    watched(r,
+            (const char *const[]){"fk/d/run-7", "{\"phase\":2,\"tasks\":4}", "fk/l/j/run-8", SERVICE, NULL});
+    forget_outs(r);
+    fk_controller_submit(r->c, r->now, (FkRequest){300},
+                         spec("run-5", (const char *const[]){cases[i].needs, NULL}));
+    pump(r);
+    FkOut *t = find(r, FK_OUT_COMMIT, NULL);
+    g_test_message("%s", cases[i].name);
+    g_assert_cmpint(t && !t->writes->len, ==, cases[i].asks);
+    if (cases[i].asks)
+      committed(r, cases[i].failed ? FK_CONFLICT : FK_OK, r->epoch + 1, cases[i].failed);
+    const FkOut *a = answer_to(r, 300);
+    g_assert_cmpint(a ? a->status : 0, ==, cases[i].status);
+    if (!cases[i].asks && !cases[i].status) {
+      const FkRecord *rec = g_array_index(find(r, FK_OUT_COMMIT, "fk/l/j/run-5")->writes, FkWrite, 0).record;
+      g_assert_cmpint(rec->spec->needs != NULL, ==, g_str_equal(cases[i].needs, "run-1"));
+    }
+    rig_free(r);
+  }
+}
+
+/* Low-ranked work that a high-ranked job with a deadline needs takes both over, along the way. */
+static void test_pulled(void) {
+  Rig *r = with_fences();
+  g_autofree char *last = g_strconcat(
+      "{\"deadline\":500,\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":1,\"tasks\":1,\"cpus\":2,"
+      "\"gpus\":0,\"mem\":2,"
+      "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,"
+      "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16,\"needs\":[\"run-2\"]}",
+      NULL);
+  watched(r, (const char *const[]){"fk/l/j/run-2", NEEDS("run-1"), NULL});
+  tick(r, 1.2);
+  FkJob *first = fk_view_job(fk_controller_view(r->c), "run-1"),
+        *middle = fk_view_job(fk_controller_view(r->c), "run-2");
+  g_assert_cmpint(middle->pulled_rank, ==, FK_RANK_LOW);
+  g_assert_cmpfloat(fk_job_due_s(first), <, 0);
+  watched(r, (const char *const[]){"fk/l/j/run-3", last, NULL}); /* submitted later */
+  tick(r, 1.2);
+  g_assert_cmpint(first->pulled_rank, ==, FK_RANK_HIGH);
+  g_assert_cmpint(middle->pulled_rank, ==, FK_RANK_HIGH);
+  g_assert_cmpfloat(fk_job_due_s(middle), >, 0);
+  g_assert_cmpint(first->due_us, <, middle->due_us);
+  rig_free(r);
+}
+
+/* A page that the version before wrote under larger limits: whole while one controller can't read it in
+ * parts, then divided by one transaction, each part within the limits to come, nobody lost, and left alone
+ * after that. */
+static void test_divided(void) {
+  for (int known = 0; known < 2; known++) {
+    Rig *r = rig_new(TRUE);
+    r->s->value_kb = 2;
+    r->s->now_value_kb = 32;
+    r->s->txn_ops = 8;
+    g_autofree char *page = group_key("m"), *group = fk_group_id("north", "i-1");
+    g_autoptr(GString) members =
+        g_string_new("{\"zone\":\"north\",\"m\":[[\"i-1\",\"box8\",\"127.0.0.1:9\",0]");
+    guint n = 1;
+    for (guint i = 100; n < 60; i++) {
+      g_autofree char *id = g_strdup_printf("i-%06u", i), *of = fk_group_id("north", id);
+      if (!g_str_equal(of, group))
+        continue;
+      g_string_append_printf(members, ",[\"%s\",\"box8\",\"10.1.0.%u:9000\",0,\"silent\",-1]", id, n++);
+    }
+    g_string_append(members, "]}");
+    watched(r, (const char *const[]){page, members->str, NULL});
+    for (guint i = 0; i < 3; i++) {
+      g_autofree char *path = g_strdup_printf("fk/l/f/c-%u", i);
+      watched(r, (const char *const[]){path, i == 2 && !known ? "{}" : "{\"chains\":true}", NULL});
+    }
+    forget_outs(r);
+    tick(r, 0.5);
+    FkOut *t = find(r, FK_OUT_COMMIT, "fk/l/m/");
+    g_assert_cmpint(t != NULL, ==, known);
+    if (!known) {
+      rig_free(r);
+      continue;
+    }
+    g_assert_cmpuint(t->writes->len, >, 2);
+    g_assert_cmpuint(t->writes->len, <=, 8);
+    g_assert_true(guarded(t, "fk/l/g/"));
+    guint written = 0;
+    g_autoptr(GPtrArray) events = g_ptr_array_new_with_free_func((GDestroyNotify)fk_event_free);
+    r->epoch++;
+    for (guint i = 0; i < t->writes->len; i++) {
+      const FkWrite *w = &g_array_index(t->writes, FkWrite, i);
+      g_autoptr(cJSON) j = fk_store_record_to_json(w->record);
+      g_autofree char *text = fk_json_print(j);
+      g_assert_cmpuint(strlen(text), <=, 2048);
+      written += w->record->members->len;
+      FkEvent *e = g_new0(FkEvent, 1);
+      *e = (FkEvent){g_strdup(w->path), fk_store_record_from_json(w->path, j), {r->epoch}};
+      g_ptr_array_add(events, e);
+    }
+    g_assert_cmpuint(written, ==, n);
+    committed(r, FK_OK, r->epoch, NULL);
+    fk_controller_watched(r->c, r->now, FK_OK, events, (FkRev){r->epoch}, r->now);
+    pump(r);
+    guint described = 0;
+    const FkGroup *g = fk_view_group(fk_controller_view(r->c), group);
+    for (guint i = 0; i < g->machines->len; i++)
+      described += ((FkMachine *)g->machines->pdata[i])->rec != NULL;
+    g_assert_cmpuint(described, ==, n);
+    forget_outs(r);
+    tick(r, 3);
+    for (guint i = 0; i < r->outs->len; i++) {
+      const FkOut *o = r->outs->pdata[i];
+      for (guint k = 0; o->writes && k < o->writes->len; k++) {
+        const FkWrite *w = &g_array_index(o->writes, FkWrite, k);
+        g_assert_false(g_str_has_prefix(w->path, "fk/l/m/") && w->record->members->len > 23);
+      }
+    }
+    rig_free(r);
+  }
+}
+
+int main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/chains/settles", test_settles);
+  g_test_add_func("/chains/settles_or_503", test_settles_or_503);
+  g_test_add_func("/chains/only_the_final", test_only_the_final);
+  g_test_add_func("/chains/reads_ends", test_reads_ends);
+  g_test_add_func("/chains/fences", test_fences);
+  g_test_add_func("/chains/accepting", test_accepting);
+  g_test_add_func("/chains/pulled", test_pulled);
+  g_test_add_func("/chains/divided", test_divided);
+  return g_test_run();
+}
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -139,8 +139,8 @@
     guint machines, back;
     gboolean just_lost, claimed;
     double after_s; /* one that hears nothing of where it was sent is back later, and moves no group */
-  } cases[] = {{2, 2, FALSE, TRUE, 5},   {20, 2, FALSE, FALSE, 5}, {20, 3, FALSE, TRUE, 5},
-               {40, 5, FALSE, FALSE, 5}, {40, 6, FALSE, TRUE, 5},  {20, 3, TRUE, FALSE, 5},
+  } cases[] = {{2, 2, FALSE, TRUE, 5},     {20, 2, FALSE, FALSE, 5}, {20, 3, FALSE, TRUE, 5},
+               {40, 5, FALSE, FALSE, 5},   {40, 6, FALSE, TRUE, 5},  {20, 3, TRUE, FALSE, 5},
                {20, 20, FALSE, FALSE, 10}, {20, 6, FALSE, FALSE, 15}};
   for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
     Rig *r = rig_new(cases[i].just_lost);
@@ -651,6 +651,7 @@
                              (char *)ids->pdata[k % 50]);
     g_string_append(chunk, "]}");
     g_test_message("%s", cases[i].what);
+    r->s->value_kb = r->s->now_value_kb = 32; /* a record of a hundred bookings fits */
     watched(r, (const char *const[]){page, members, "fk/l/j/run-many", spec->str, "fk/l/t/run-many/00000",
                                      chunk->str, "fk/l/j/run-first", SPEC, NULL});
     fk_view_job(fk_controller_view(r->c), "run-1")->cancelled = TRUE; /* not in the way */
--- a/test/test_meetings.c
+++ b/test/test_meetings.c
@@ -19,7 +19,14 @@
   double limits; /* the teams' limits, times those of good.json; 0: 20, which nobody reaches */
   double tiny;   /* one-task jobs a second */
   double boot_s; /* rented machines are up within this, ... */
-  guint up;      /* ... and so many at the start; 0: 24 of 30 */
+  double
+      chains; /* pipelines a second; guint deep, fan: jobs in one row, and round one job, cancelled at ... */
+  guint deep, fan;
+  double cancel_deep_s;
+  double roll_s;   /* all begin as the version in production; the first comes back new then, the others 4 s
+                      apart */
+  double limits_s; /* the store's limits fall then: from 2 KiB and 32 changes to half, and 42 of 60 writes */
+  guint up;        /* ... and so many at the start; 0: 24 of 30 */
 } Meeting;
 
 /* The lease is 20 s, a cancellation has 40 s, homes trust their view for 58 s, and a cancellation is told
@@ -429,6 +436,168 @@
       {130, 14, SIM_REFUSE, SIM_LEADER},
       {90, 30, SIM_RUSH}},
      LONG},
+    /* pipelines: in calm, ... */
+    {"chains", 4, {{5, 290, SIM_LOOKS}, {10, 200, SIM_ODD}}, .chains = 0.3},
+    /* ... while the leader ends between an end and what it releases, and users cancel, ask, and repeat */
+    {"chains_leaders",
+     4,
+     {{5, 290, SIM_LOOKS},
+      {40, 110, SIM_RUSH},
+      {50, 0, SIM_CRASH, SIM_LEADER},
+      {62, 0, SIM_CRASH, SIM_LEADER},
+      {75, 0, SIM_CRASH, SIM_ALL},
+      {90, 12, SIM_REFUSE, SIM_LEADER},
+      {110, 15, SIM_FREEZE, SIM_LEADER},
+      {130, 0, SIM_CRASH, SIM_ALL}},
+     .quick = TRUE,
+     .chains = 0.3},
+    /* ... the store is slow, refuses one, is out just after a cancellation, loses answers, is late */
+    {"chains_store",
+     4,
+     {{5, 290, SIM_LOOKS},
+      {30, 150, SIM_CANCEL_AT_END, .share = 0.3},
+      {45, 30, SIM_SLOW},
+      {60, 14, SIM_REFUSE, SIM_LEADER},
+      {59, 3, SIM_RUSH},
+      {62, 50, SIM_OUTAGE},
+      {115, 30, SIM_LOST_ANSWERS, .share = 0.5},
+      {125, 40, SIM_LATE_WRITES, .share = 0.4}},
+     .chains = 0.3,
+     .seconds = 340},
+    {"chains_cut",
+     4,
+     {{5, 290, SIM_LOOKS},
+      {50, 60, SIM_ALONE, SIM_LEADER},
+      {55, 30, SIM_RUSH},
+      {120, 45, SIM_ZONE},
+      {125, 10, SIM_RUSH},
+      {40, 140, SIM_COPIES}},
+     .chains = 0.3,
+     .seconds = 340},
+    /* ... finals alone lose their answers; the last job's user cancels as it ends */
+    {"chains_finals",
+     4,
+     {{20, 150, SIM_LOST_ANSWERS, .share = 0.8, .touches = "fk/d/"},
+      {5, 290, SIM_LOOKS},
+      {20, 150, SIM_CANCEL_AT_END, .share = 0.5},
+      {80, 0, SIM_CRASH, SIM_LEADER}},
+     .chains = 0.3},
+    /* ... their teams at the limit */
+    {"chains_full",
+     4,
+     {{5, 290, SIM_LOOKS},
+      {60, 18, SIM_CANCEL_NOW, .share = 0.5},
+      {61, 0, SIM_CRASH, SIM_LEADER},
+      {100, 0, SIM_CRASH, SIM_ALL}},
+     .limits = 4,
+     .scale = 4,
+     .run_s = 20,
+     .chains = 0.2},
+    /* 50 levels and a fan of 300, called off at their first; the store is out just after, all end */
+    {"chains_deep", 2, {{5, 200, SIM_LOOKS}}, .deep = 50, .fan = 300, .cancel_deep_s = 40},
+    {"chains_deep_troubles",
+     4,
+     {{40.5, 40, SIM_OUTAGE}, {95, 0, SIM_CRASH, SIM_ALL}, {110, 0, SIM_CRASH, SIM_LEADER}},
+     .deep = 50,
+     .fan = 300,
+     .cancel_deep_s = 40},
+    /* ... and not called off: all end with 2,000 and 50 waiting */
+    {"chains_restart",
+     2,
+     {{60, 0, SIM_CRASH, SIM_ALL}, {75, 0, SIM_CRASH, SIM_ALL}},
+     .deep = 50,
+     .fan = 2000,
+     .seconds = 420},
+    /* the version in production is rolled to this one, a controller after another, while users look closely:
+       in calm, ... */
+    {"roll",
+     4,
+     {{5, 290, SIM_LOOKS}, {40, 100, SIM_CANCEL_AT_END, .share = 0.3}},
+     .roll_s = 40,
+     .chains = 0.3},
+    /* ... with ends, refusals, an outage and late transactions between; who ends early comes back old */
+    {"roll_crash",
+     6,
+     {{5, 290, SIM_LOOKS},
+      {30, 0, SIM_CRASH, SIM_LEADER},
+      {42, 0, SIM_CRASH, SIM_LEADER},
+      {46, 0, SIM_CRASH, SIM_ANYBODY},
+      {49, 0, SIM_CRASH, SIM_LEADER},
+      {55, 0, SIM_CRASH, SIM_ALL},
+      {35, 60, SIM_RUSH},
+      {90, 0, SIM_CRASH, SIM_LEADER}},
+     .roll_s = 40,
+     .chains = 0.3},
+    {"roll_store",
+     6,
+     {{5, 290, SIM_LOOKS},
+      {30, 50, SIM_LATE_WRITES, .share = 0.3},
+      {35, 60, SIM_RUSH},
+      {43, 14, SIM_OUTAGE},
+      {60, 12, SIM_REFUSE, SIM_ANYBODY},
+      {75, 30, SIM_LOST_ANSWERS, .share = 0.4},
+      {40, 100, SIM_COPIES}},
+     .roll_s = 40,
+     .chains = 0.3},
+    {"roll_cut",
+     6,
+     {{38, 40, SIM_CUT_STATE, SIM_OTHERS},
+      {45, 40, SIM_FREEZE, SIM_OTHERS},
+      {50, 40, SIM_ALONE, SIM_LEADER},
+      {35, 80, SIM_RUSH},
+      {100, 30, SIM_ZONE},
+      {40, 100, SIM_OLD_REPORTS},
+      {120, 0, SIM_CRASH, SIM_LEADER}},
+     .roll_s = 40,
+     .chains = 0.3},
+    /* ... at the teams' limits, machines deaf and hung */
+    {"roll_full",
+     4,
+     {{38, 18, SIM_CANCEL_NOW, .share = 0.5},
+      {44, 30, SIM_DEAF, .share = 0.3},
+      {49, 18, SIM_CANCEL_NOW, .share = 0.5},
+      {50, 0, SIM_CRASH, SIM_LEADER},
+      {70, 0, SIM_CRASH, SIM_ALL}},
+     .roll_s = 40,
+     .chains = 0.2,
+     .limits = 4,
+     .scale = 4,
+     .run_s = 20},
+    /* ... then the store's limits fall; in an outage; as a leader ends. What was written larger is divided */
+    {"limits",
+     4,
+     {{5, 290, SIM_LOOKS}, {60, 60, SIM_RUSH}},
+     .roll_s = 30,
+     .limits_s = 80,
+     .chains = 0.3,
+     .scale = 3},
+    {"limits_outage",
+     6,
+     {{60, 80, SIM_RUSH},
+      {85, 15, SIM_OUTAGE},
+      {88, 0, SIM_CRASH, SIM_LEADER},
+      {105, 0, SIM_CRASH, SIM_LEADER},
+      {115, 12, SIM_REFUSE, SIM_ANYBODY},
+      {125, 0, SIM_DEATH, .share = 0.3},
+      {130, 20, SIM_LATE_WRITES, .share = 0.3}},
+     .roll_s = 30,
+     .limits_s = 90,
+     .chains = 0.3,
+     .scale = 3},
+    {"limits_all_groups",
+     4,
+     {{70, 0, SIM_CRASH, SIM_ALL},
+      {74, 0, SIM_DEATH, .share = 0.4},
+      {80, 18, SIM_CANCEL_NOW, .share = 0.7},
+      {82, 0, SIM_CRASH, SIM_LEADER},
+      {110, 0, SIM_CRASH, SIM_ALL}},
+     .roll_s = 20,
+     .limits_s = 60,
+     .chains = 0.3,
+     .deep = 50,
+     .fan = 300,
+     .cancel_deep_s = 40,
+     .scale = 3},
     /* one-task jobs, four a second, a quarter of them cancelled, some at the end: in calm and not */
     {"tiny", 2, {{20, 160, SIM_CANCEL_AT_END, .share = 0.1}}, .tiny = 4},
     {"tiny_troubles",
@@ -533,6 +702,12 @@
 
 static SimResult play(const Meeting *mt, const SimFault *faults, guint n, guint64 seed, guint controllers) {
   g_autoptr(FkSettings) s = schedule_settings(mt->limits > 0 ? mt->limits : 20);
+  guint now_ops = s->txn_ops;
+  if (mt->limits_s > 0) {
+    s->value_kb = 1;
+    s->txn_ops = 10;
+    s->next_write_rps = 42;
+  }
   SimPlan plan = {.seed = seed,
                   .seconds = mt->seconds > 0 ? mt->seconds : 300,
                   .cancels = TRUE,
@@ -542,6 +717,16 @@
                   .scale = mt->scale > 0 ? mt->scale : 2,
                   .tiny = mt->tiny,
                   .boot_s = mt->boot_s,
+                  .chains = mt->chains,
+                  .deep = mt->deep,
+                  .fan = mt->fan,
+                  .cancel_deep_s = mt->cancel_deep_s,
+                  .before = mt->roll_s > 0 ? &fk_version_production : NULL,
+                  .roll_at = mt->roll_s,
+                  .roll_every_s = 4,
+                  .chains_from = mt->roll_s > 0 ? mt->roll_s + 4 * controllers + 10 : 0,
+                  .now_txn_ops = now_ops,
+                  .limits_at = mt->limits_s,
                   .controllers = controllers,
                   .faults = faults,
                   .n_faults = n,
@@ -614,6 +799,7 @@
       g_assert_true(mt->faults[f].kind != SIM_LOOKS || r.looks > 100);
       g_assert_true(mt->faults[f].kind != SIM_ODD || r.odd > 20);
     }
+    g_assert_cmpuint(r.over_limits, ==, 0);
     g_assert_true(r.broken || mt->limits <= 0 || mt->limits > 4 || r.at_limit > 0.95);
     if (mt->tiny > 0 && !r.broken) {
       /* what is over leaves nothing behind, and costs a bounded number of writes */
@@ -685,6 +871,47 @@
     g_log_default_handler(domain, level, text, data);
 }
 
+/* What needs nothing new is written by both versions byte for byte alike, and read by both; what is new in a
+ * record that the one before reads is passed over by it. */
+static void test_forms(void) {
+  static const struct {
+    const char *path, *value;
+    gboolean both; /* written the same by both */
+  } cases[] = {
+      {"fk/l/j/run-1",
+       "{\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":2,\"tasks\":4,\"cpus\":2,\"gpus\":0,\"mem\":2,"
+       "\"image\":\"i\","
+       "\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,\"checkpoint\":0,"
+       "\"save\":0,"
+       "\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16}",
+       TRUE},
+      {"fk/l/t/run-1/00000", "{\"f\":0,\"n\":4,\"a\":2,\"d\":\"1\",\"b\":[[1,1,\"i-1\",\"c-0\"]]}", TRUE},
+      {"fk/l/m/north.3", "{\"m\":[[\"i-1\",\"box8\",\"127.0.0.1:9\",0,\"idle\",-1]],\"zone\":\"north\"}",
+       TRUE},
+      {"fk/l/r/c-0/0", "{\"run-1/0\":{\"d\":\"1\",\"r\":[1,2],\"f\":[2]}}", TRUE},
+      {"fk/l/q/red", "{\"split\":{\"c-0\":3}}", TRUE},
+      {"fk/l/g/north.3", "{\"node\":\"c-0\",\"life\":\"x\"}", TRUE},
+      {"fk/l/n/c-0", "{\"life\":\"x\"}", TRUE},
+      {"fk/d/run-1", "{\"phase\":2,\"tasks\":4}", TRUE},
+      {"fk/d/run-2", "{\"phase\":2,\"tasks\":4,\"at\":17}", FALSE},
+      {"fk/l/f/c-0", "{\"chains\":true}", FALSE},
+  };
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    char *texts[2];
+    const FkVersion *versions[] = {&fk_version_production, &fk_version_present};
+    for (guint k = 0; k < 2; k++) {
+      FkEvent *e = versions[k]->event(cases[i].path, cases[i].value, 5);
+      g_assert_nonnull(e);
+      g_autoptr(cJSON) j = versions[k]->record_to_json(e->record);
+      texts[k] = fk_json_print(j);
+      versions[k]->event_free(e);
+    }
+    g_assert_cmpint(strcmp(texts[0], texts[1]) == 0, ==, cases[i].both);
+    g_free(texts[0]);
+    g_free(texts[1]);
+  }
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_log_set_default_handler(quiet, NULL);
@@ -693,6 +920,7 @@
     g_autofree char *path = g_strdup_printf("/meetings/%s", meetings[i].name);
     g_test_add_data_func(path, &meetings[i], run_meeting);
   }
+  g_test_add_func("/versions/forms", test_forms);
   for (guint i = 0; i < SIM_KINDS; i++) {
     g_autofree char *path = g_strdup_printf("/pairs/%u", i);
     g_test_add_data_func(path, GUINT_TO_POINTER(i), run_pairs);
--- a/test/test_unlisted.c
+++ b/test/test_unlisted.c
@@ -342,8 +342,8 @@
     FkView *v = fk_controller_view(r->c);
     FkJob *big = fk_view_job(v, "run-2"), *small = fk_view_job(v, "run-1");
     FkMachine *m = fk_view_machine(v, "i-1");
-    big->submitted_us = r->now.us - (gint64)(cases[i].waited_s * 1e6);
-    small->submitted_us = r->now.us;
+    big->could_us = r->now.us - (gint64)(cases[i].waited_s * 1e6);
+    small->could_us = r->now.us;
     big->booked += cases[i].begun;
     g_autoptr(GPtrArray) jobs = fk_turn_waiting(r->c);
     g_assert_cmpint(big->urgent, ==, cases[i].urgent);
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -24,6 +24,14 @@
       {"{" GOOD ",\"builds\":[8]}", FALSE},
       {"{" GOOD ",\"due_s\":-1}", FALSE},
       {"{" GOOD ",\"due_s\":\"soon\"}", FALSE},
+      {"{" GOOD ",\"awaits\":null}", TRUE},
+      {"{" GOOD ",\"awaits\":[]}", TRUE},
+      {"{" GOOD ",\"awaits\":[\"run-1\",\"run-2\",\"run-1\"]}", TRUE},
+      {"{" GOOD ",\"awaits\":\"run-1\"}", FALSE},
+      {"{" GOOD ",\"awaits\":{}}", FALSE},
+      {"{" GOOD ",\"awaits\":[1]}", FALSE},
+      {"{" GOOD ",\"awaits\":[\"job-1\"]}", FALSE},
+      {"{" GOOD ",\"awaits\":[\"run-1\",null]}", FALSE},
       {"{" GOOD "} trailing", FALSE},
       {"{" GOOD, FALSE},
       {"", FALSE},
@@ -122,6 +130,80 @@
   }
 }
 
+/* Named twice counts once; none is none, and its record has the form of before. A record whose list isn't one
+ * isn't a job's at all: it must not start as if it needed nobody. */
+static void test_needs(void) {
+  static const struct {
+    const char *awaits, *needs; /* NULL: none */
+  } cases[] = {{"null", NULL},
+               {"[]", NULL},
+               {"[\"run-2\"]", "run-2"},
+               {"[\"run-2\",\"run-3\",\"run-2\"]", "run-2 run-3"}};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    g_autofree char *body = g_strdup_printf("{" GOOD ",\"awaits\":%s}", cases[i].awaits);
+    const char *why;
+    FkRecord *r = fk_record_new(FK_KEY_JOB);
+    r->spec = fk_user_parse_submission(body, strlen(body), &why);
+    r->spec->chunk = 8;
+    g_autofree char *needs = r->spec->needs ? g_strjoinv(" ", r->spec->needs) : NULL;
+    g_assert_cmpstr(needs, ==, cases[i].needs);
+    g_autoptr(cJSON) j = fk_store_record_to_json(r);
+    g_assert_cmpint(fk_json_get(j, "needs") != NULL, ==, cases[i].needs != NULL);
+    FkRecord *back = fk_store_record_from_json(FK_LIVE "j/run-1", j);
+    g_autofree char *again = back->spec->needs ? g_strjoinv(" ", back->spec->needs) : NULL;
+    g_assert_cmpstr(again, ==, cases[i].needs);
+    fk_record_free(back);
+    fk_record_free(r);
+    cJSON_DeleteItemFromObject(j, "needs");
+    cJSON_AddItemToObject(j, "needs", cJSON_CreateRaw("[7]"));
+    g_autofree char *text = fk_json_print(j);
+    g_autoptr(cJSON) bad = fk_json_parse(text, strlen(text));
+    g_assert_null(fk_store_record_from_json(FK_LIVE "j/run-1", bad));
+  }
+}
+
+/* The limits to come: without them, with larger ones, with fields that nobody knows; nonsense is refused. */
+static void test_next(void) {
+  static const struct {
+    const char *next; /* NULL: none */
+    gboolean ok;
+    double value_kb, write_rps;
+    guint ops;
+  } cases[] = {{NULL, TRUE, 2, 60, 32},
+               {"null", TRUE, 2, 60, 32},
+               {"{}", TRUE, 2, 60, 32},
+               {"{\"value_kb\":1,\"txn_ops\":8,\"write_rps\":35}", TRUE, 1, 35, 8},
+               {"{\"value_kb\":64,\"txn_ops\":99,\"write_rps\":350}", TRUE, 2, 60, 32},
+               {"{\"txn_ops\":10,\"colour\":\"red\"}", TRUE, 2, 60, 10},
+               {"{\"value_kb\":null}", TRUE, 2, 60, 32},
+               {"7", FALSE, 0, 0, 0},
+               {"[]", FALSE, 0, 0, 0},
+               {"{\"value_kb\":0}", FALSE, 0, 0, 0},
+               {"{\"value_kb\":\"2\"}", FALSE, 0, 0, 0},
+               {"{\"txn_ops\":-1}", FALSE, 0, 0, 0},
+               {"{\"write_rps\":0}", FALSE, 0, 0, 0}};
+  g_autofree char *text = NULL;
+  gsize len;
+  g_assert_true(g_file_get_contents(FK_SOURCE_DIR "/test/data/good.json", &text, &len, NULL));
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    g_autoptr(cJSON) o = fk_json_parse(text, len);
+    cJSON *state = cJSON_GetObjectItem(cJSON_GetObjectItem(o, "deployment"), "state");
+    if (cases[i].next)
+      cJSON_AddItemToObject(state, "next", cJSON_CreateRaw(cases[i].next));
+    g_autofree char *body = fk_json_print(o);
+    g_autoptr(GError) error = NULL;
+    g_autoptr(FkSettings) s = fk_settings_parse(body, strlen(body), &error);
+    g_assert_cmpint(s != NULL, ==, cases[i].ok);
+    g_assert_cmpint(error != NULL, ==, !cases[i].ok);
+    if (!s)
+      continue;
+    g_assert_cmpfloat(s->value_kb, ==, cases[i].value_kb);
+    g_assert_cmpfloat(s->now_value_kb, ==, 2);
+    g_assert_cmpfloat(s->next_write_rps, ==, cases[i].write_rps);
+    g_assert_cmpuint(s->txn_ops, ==, cases[i].ops);
+  }
+}
+
 static void test_chunk_record(void) {
   for (guint32 count = 1; count <= 128; count += 13) {
     FkRecord *r = fk_record_new(FK_KEY_CHUNK);
@@ -239,6 +321,8 @@
   g_test_add_func("/wire/integers", test_integers);
   g_test_add_func("/wire/report", test_report);
   g_test_add_func("/wire/chunk", test_chunk_record);
+  g_test_add_func("/wire/needs", test_needs);
+  g_test_add_func("/wire/next", test_next);
   g_test_add_func("/wire/schema", test_schema);
   g_test_add_func("/wire/settings", test_settings);
   g_test_add_func("/wire/failed_ends", test_failed_ends);
