--- a/src/lab/users.c
+++ b/src/lab/users.c
@@ -207,6 +207,8 @@
 
 static void user_acts(Sim *m, gpointer p) {
   UJob *j = p;
+  if (m->plan.ask_no_more && (j->told_done || j->told_cancelled))
+    return;
   if (!j->accepted && !may_be_submitted(j)) {
     after(m, between(m, 0.01, 0.3), user_acts, j);
     return;
@@ -569,7 +571,7 @@
     check_left_waiting(m, calm_at);
   for (guint i = 0; i < m->jobs->len; i++) {
     const UJob *j = m->jobs->pdata[i];
-    if (!j->accepted)
+    if (!j->accepted || (m->plan.ask_no_more && (j->told_done || j->told_cancelled)))
       continue;
     gint64 waits = MAX(MAX(j->accepted_at, calm_at), j->answered_at);
     if (m->now >= calm_at)
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -82,8 +82,10 @@
   const FkVersion *before; /* all begin with it, and come back with the present one from `roll_at` on, one by
 one; who ends before its turn comes back as it was. NULL: all are of the present */
   double roll_at, roll_every_s;
-  guint now_txn_ops;      /* until the limits fall; 0: as the settings have them */
-  double limits_at;       /* the store's limits fall to the next ones; 0: never */
+  gboolean
+      ask_no_more;   /* who was told how it ended doesn't ask again: nobody reads old ends for the others */
+  guint now_txn_ops; /* until the limits fall; 0: as the settings have them */
+  double limits_at;  /* the store's limits fall to the next ones; 0: never */
   double cancel_deep_s;   /* the first of both is cancelled then; 0: never */
   const SimFault *faults; /* by the plan alone; nothing else goes wrong by itself */
   guint n_faults;
--- a/test/test_meetings.c
+++ b/test/test_meetings.c
@@ -22,6 +22,7 @@
   double
       chains; /* pipelines a second; guint deep, fan: jobs in one row, and round one job, cancelled at ... */
   guint deep, fan;
+  gboolean ask_no_more; /* users who were told the end */
   double cancel_deep_s;
   double roll_s;   /* all begin as the version in production; the first comes back new then, the others 4 s
                       apart */
@@ -502,11 +503,21 @@
      .fan = 300,
      .cancel_deep_s = 40},
     /* ... and not called off: all end with 2,000 and 50 waiting */
+    {"chains_restarts",
+     4,
+     {{50, 0, SIM_CRASH, SIM_ALL},
+      {75, 0, SIM_CRASH, SIM_ALL},
+      {100, 0, SIM_CRASH, SIM_ALL},
+      {125, 0, SIM_CRASH, SIM_ALL},
+      {150, 0, SIM_CRASH, SIM_ALL}},
+     .chains = 0.6,
+     .ask_no_more = TRUE},
     {"chains_restart",
      2,
-     {{60, 0, SIM_CRASH, SIM_ALL}, {75, 0, SIM_CRASH, SIM_ALL}},
+     {{60, 0, SIM_CRASH, SIM_ALL}, {105, 0, SIM_CRASH, SIM_ALL}, {115, 0, SIM_CRASH, SIM_ALL}},
      .deep = 50,
      .fan = 2000,
+     .ask_no_more = TRUE,
      .seconds = 420},
     /* the version in production is rolled to this one, a controller after another, while users look closely:
        in calm, ... */
@@ -719,6 +730,7 @@
                   .boot_s = mt->boot_s,
                   .chains = mt->chains,
                   .deep = mt->deep,
+                  .ask_no_more = mt->ask_no_more,
                   .fan = mt->fan,
                   .cancel_deep_s = mt->cancel_deep_s,
                   .before = mt->roll_s > 0 ? &fk_version_production : NULL,
