Finals that others need go first; chunks by what a booking really takes; pulls end with who asked

And a chunk held 29 tasks at values of 2 KiB, by a guess of 56 bytes a booking, so that a job of 30 took two. Tests: /chains/needed_finals_first, /chains/pulled, /wire/chunk_fits.

--- a/src/core/batch.c
+++ b/src/core/batch.c
@@ -202,7 +202,7 @@
       continue;
     }
     /* one from before the limits were known may be larger than they allow when all of it is booked */
-    if (ch && !fk_chunk_fits(ch, 1, c->settings->value_kb))
+    if (ch && !fk_chunk_fits(ch, c->settings->value_kb, m->id, c->settings->node))
       continue;
     if (fk_batch_full(c, b) || (!copy && fk_batch_no_more_chunks(c, b)))
       return FALSE;
--- a/src/core/chains.c
+++ b/src/core/chains.c
@@ -62,9 +62,20 @@
 }
 
 static void pull(FkController *c) {
-  if (fk_time_between(c->pulled, c->now) < PULL_S || !fk_deps_size(c->view->deps))
+  gboolean any = fk_deps_size(c->view->deps) > 0;
+  if (fk_time_between(c->pulled, c->now) < PULL_S || (!any && !c->pulling))
     return;
   c->pulled = c->now;
+  c->pulling = any;
+  /* whoever needed a job may be gone */
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkJob *j = p;
+    j->pulled_rank = j->spec->rank;
+    j->due_us = fk_job_own_due(j);
+  }
   fk_deps_pull(c->view->deps, own_of, pulled, c);
 }
 
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -284,11 +284,11 @@
     fk_out(c, FK_OUT_TYPES);
     c->types_pending = TRUE;
   }
+  fk_users_settle(c);
   if (!fk_ready(c))
     return;
   fk_metered(c, FK_COST_USERS, fk_users_verify);
   fk_metered(c, FK_COST_USERS, fk_chains_tick);
-  fk_users_settle(c);
   fk_users_tell_waiting(c);
   fk_proof_tick(c);
   c->view->now = now;
--- a/src/core/displace.c
+++ b/src/core/displace.c
@@ -28,7 +28,7 @@
 /* Its chunk can be written; one that is larger than the limits allow can't, before some of it has ended. */
 static gboolean can_be_stopped(FkController *c, const FkBookRef *b) {
   const FkChunk *ch = b->job->chunks[b->task / b->job->spec->chunk];
-  return ch && fk_chunk_fits(ch, 0, c->settings->value_kb);
+  return ch && fk_chunk_fits(ch, c->settings->value_kb, NULL, NULL);
 }
 
 /* What stopping it would cost, in core-seconds. */
--- a/src/core/ends.c
+++ b/src/core/ends.c
@@ -169,8 +169,10 @@
   while (g_hash_table_iter_next(&it, &job, &n)) {
     FkJob *j = job;
     guint ended = GPOINTER_TO_UINT(n) & 0xfffff, done = GPOINTER_TO_UINT(n) >> 20;
-    /* a large transaction finds no room in a busy store's budget; the sweep takes what is left here */
-    guint max = (guint)CLAMP(c->write_room, 1, c->settings->txn_ops);
+    /* a large transaction finds no room in a busy store's budget; the sweep takes what is left here. But
+     * nothing that needs the job starts before its final is there */
+    gboolean needed = fk_deps_needed(c->view->deps, j->spec->id);
+    guint max = needed ? c->settings->txn_ops : (guint)CLAMP(c->write_room, 1, c->settings->txn_ops);
     guint left = max > t->writes->len ? max - t->writes->len : 0;
     if (j->booked == ended && (j->cancelled ? !fk_services_first(c) : j->done + done == j->spec->tasks) &&
         left >= 2 + j->n_chunks && t->guards->len + 1 < 4 * c->settings->txn_ops)
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -127,7 +127,8 @@
   GQueue *telling;          /* FkAsk: what they ask about is cancelled, and they may not be told yet */
   GQueue *settling;         /* FkAsk: answered once our view has reached a revision */
   GHashTable *finals_asked; /* ids of jobs that others need, whose ends are being read */
-  FkTime pulled;
+  FkTime pulled;            /* when that was worked out last what dependents ask for, */
+  gboolean pulling;         /* and whether any did */
   FkTime verify_after;
 
   guint txns[FK_PRIO_RESULT + 1], txn_writes[FK_PRIO_RESULT + 1]; /* in this window, by purpose */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -66,15 +66,24 @@
   g_free(c);
 }
 
-#define RECORD_BYTES 400 /* of a chunk's record, its bookings apart, whatever the number of tasks */
-#define BOOKING_BYTES 56
+#define RECORD_BYTES 160 /* of a chunk's record, its bookings apart, whatever the number of tasks */
+#define BOOKING_BYTES 28 /* of a booking, the names apart */
+#define ID_BYTES                                                                                             \
+  12 /* of a machine's id, as the cloud gives them; longer ones leave tasks waiting for others' ends */
 
-gboolean fk_chunk_fits(const FkChunk *c, guint more, double value_kb) {
-  return RECORD_BYTES + (c->bookings->len + more) * (double)BOOKING_BYTES <= 1024 * value_kb;
+gboolean fk_chunk_fits(const FkChunk *c, double value_kb, const char *machine, const char *by) {
+  double bytes = RECORD_BYTES;
+  for (guint i = 0; i < c->bookings->len; i++) {
+    const FkBooking *b = &g_array_index(c->bookings, FkBooking, i);
+    bytes += BOOKING_BYTES + (double)strlen(b->machine) + (double)strlen(b->by);
+  }
+  bytes += machine ? BOOKING_BYTES + (double)strlen(machine) + (double)strlen(by) : 0;
+  return bytes <= 1024 * value_kb;
 }
 
-guint32 fk_chunk_tasks_within(double value_kb) {
-  return (guint32)CLAMP((value_kb * 1024 - RECORD_BYTES) / BOOKING_BYTES, 8, 128);
+guint32 fk_chunk_tasks_within(double value_kb, const char *by) {
+  double each = BOOKING_BYTES + ID_BYTES + (double)strlen(by);
+  return (guint32)CLAMP((value_kb * 1024 - RECORD_BYTES) / each, 8, 128);
 }
 
 FkBooking *fk_chunk_find(const FkChunk *c, guint32 task) {
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -63,10 +63,11 @@
 FkChunk *fk_chunk_copy(const FkChunk *c);
 void fk_chunk_free(FkChunk *c);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkChunk, fk_chunk_free)
-/* Whether its record stays within so many KiB with `more` bookings. */
-gboolean fk_chunk_fits(const FkChunk *c, guint more, double value_kb);
-/* Tasks a chunk of which every one may be booked within so many KiB. */
-guint32 fk_chunk_tasks_within(double value_kb);
+/* Whether its record stays within so many KiB, with one more booking (NULL: as it is). */
+gboolean fk_chunk_fits(const FkChunk *c, double value_kb, const char *machine, const char *by);
+/* Tasks a chunk of which every one may be booked within so many KiB, by controllers with names of that
+ * length. */
+guint32 fk_chunk_tasks_within(double value_kb, const char *by);
 FkBooking *fk_chunk_find(const FkChunk *c, guint32 task);
 
 /* The legal changes. Each returns FALSE, and changes nothing, when the change isn't legal. */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -224,10 +224,36 @@
 
 #define SWEEP_MIN 3 /* writes that must be free */
 
+/* Jobs that are done and that others need: whatever else waits for the store's writes, these are what keeps
+ * the others from starting. */
+static gboolean sweep_needed(FkController *c) {
+  if (!fk_deps_size(c->view->deps))
+    return FALSE;
+  FkOut *t = NULL;
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->jobs);
+  while (g_hash_table_iter_next(&it, NULL, &p)) {
+    FkJob *j = p;
+    if (j->booked || j->cancelled || !fk_job_complete(j) || !fk_deps_needed(c->view->deps, j->spec->id))
+      continue;
+    if (!t)
+      t = fk_txn_new(c, FK_PRIO_CLAIM);
+    if (!fk_txn_finalize(c, t, j, c->settings->txn_ops - t->writes->len) ||
+        t->writes->len + 3 > c->settings->txn_ops)
+      break;
+  }
+  if (!t)
+    return FALSE;
+  c->finalizing = TRUE;
+  fk_txn_send(c, t, finalized, NULL, NULL);
+  return TRUE;
+}
+
 /* Jobs that have ended leave the live records; chunks that a large job left behind follow. */
 static void sweep(FkController *c) {
-  if (c->finalizing || c->view->applied.n < c->finalize_wait.n || !fk_time_reached(c->now, c->sweep_next) ||
-      c->write_room < SWEEP_MIN)
+  if (c->finalizing || c->view->applied.n < c->finalize_wait.n || sweep_needed(c) ||
+      !fk_time_reached(c->now, c->sweep_next) || c->write_room < SWEEP_MIN)
     return;
   guint room = (guint)MIN(c->settings->txn_ops, c->write_room);
   c->sweep_next = fk_time_add(c->now, 0.3);
--- a/src/core/stops.c
+++ b/src/core/stops.c
@@ -12,7 +12,7 @@
 gboolean fk_stops_add(FkController *c, FkStops *s, FkJob *j, guint32 task) {
   guint32 index = task / j->spec->chunk;
   /* one that is larger than the limits allow can't be written before some of it has ended */
-  if (!j->chunks[index] || !fk_chunk_fits(j->chunks[index], 0, c->settings->value_kb))
+  if (!j->chunks[index] || !fk_chunk_fits(j->chunks[index], c->settings->value_kb, NULL, NULL))
     return TRUE;
   if (!s->txn) {
     s->txn = fk_txn_new(c, FK_PRIO_LAUNCH);
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -512,7 +512,7 @@
   spec->owner = g_strdup(c->settings->node);
   spec->submitted_ms = (c->now.us + c->view->wall_offset_us) / 1000;
   /* a chunk with every task booked stays within a value's limit */
-  spec->chunk = fk_chunk_tasks_within(c->settings->value_kb);
+  spec->chunk = fk_chunk_tasks_within(c->settings->value_kb, c->settings->node);
   FkOut *t = fk_txn_new(c, FK_PRIO_USER);
   fk_txn_guard(t, fk_key(FK_KEY_JOB, spec->id), (FkRev){0});
   fk_txn_guard(t, fk_key(FK_KEY_FINAL, spec->id), (FkRev){0});
--- a/test/test_chains.c
+++ b/test/test_chains.c
@@ -207,6 +207,25 @@
   }
 }
 
+/* In a busy store finals wait for what users wait for; not those that others need. */
+static void test_needed_finals_first(void) {
+  for (int needed = 0; needed < 2; needed++) {
+    Rig *r = with_fences();
+    watched(r, (const char *const[]){"fk/l/leader", "{\"node\":\"c-0\",\"life\":\"now\"}", "fk/l/j/run-2",
+                                     NEEDS("run-9"), "fk/l/t/run-1/00000",
+                                     "{\"f\":0,\"n\":4,\"a\":5,\"d\":\"f\",\"b\":[]}", NULL});
+    if (needed)
+      watched(r, (const char *const[]){"fk/l/j/run-3", NEEDS("run-1"), NULL});
+    forget_outs(r);
+    fk_controller_room(r->c, 0);
+    tick(r, 0.5);
+    const FkOut *t = find(r, FK_OUT_COMMIT, "fk/d/run-1");
+    g_assert_cmpint(t != NULL, ==, needed);
+    g_assert_true(!t || g_array_index(t->writes, FkWrite, 0).record->at_ms > 0);
+    rig_free(r);
+  }
+}
+
 /* Low-ranked work that a high-ranked job with a deadline needs takes both over, along the way. */
 static void test_pulled(void) {
   Rig *r = with_fences();
@@ -228,6 +247,11 @@
   g_assert_cmpint(middle->pulled_rank, ==, FK_RANK_HIGH);
   g_assert_cmpfloat(fk_job_due_s(middle), >, 0);
   g_assert_cmpint(first->due_us, <, middle->due_us);
+  gone(r, "fk/l/j/run-3"); /* whoever asked for it has gone */
+  gone(r, "fk/l/j/run-2");
+  tick(r, 1.2);
+  g_assert_cmpint(first->pulled_rank, ==, FK_RANK_NORMAL);
+  g_assert_cmpfloat(fk_job_due_s(first), <, 0);
   rig_free(r);
 }
 
@@ -312,5 +336,6 @@
   g_test_add_func("/chains/accepting", test_accepting);
   g_test_add_func("/chains/pulled", test_pulled);
   g_test_add_func("/chains/divided", test_divided);
+  g_test_add_func("/chains/needed_finals_first", test_needed_finals_first);
   return g_test_run();
 }
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -225,6 +225,30 @@
   }
 }
 
+/* A chunk of as many tasks as its job's was given, all booked and asked to leave, by the longest names
+ * reckoned with: its record fits, and where it didn't, that is said before it is written. */
+static void test_chunk_fits(void) {
+  static const double limits[] = {1, 2, 8, 32};
+  for (guint i = 0; i < G_N_ELEMENTS(limits); i++) {
+    guint32 n = fk_chunk_tasks_within(limits[i], "knotter-10");
+    FkRecord *r = fk_record_new(FK_KEY_CHUNK);
+    r->chunk = fk_chunk_new(99872, n + 60);
+    r->chunk->next_attempt = 9000000;
+    guint32 booked = 0;
+    while (booked < n + 60 && fk_chunk_fits(r->chunk, limits[i], "i-0000000231", "knotter-10")) {
+      fk_chunk_book(r->chunk, 99872 + booked, "i-0000000231", "knotter-10");
+      fk_chunk_stop(r->chunk, 99872 + booked++);
+    }
+    r->chunk->done_count = 1; /* so that its bits are written */
+    g_assert_cmpuint(booked, >=, MIN(n, 128));
+    g_autoptr(cJSON) j = fk_store_record_to_json(r);
+    g_autofree char *text = fk_json_print(j);
+    g_assert_cmpuint(strlen(text), <=, (gsize)(1024 * limits[i]));
+    g_assert_true(fk_chunk_fits(r->chunk, limits[i], NULL, NULL));
+    fk_record_free(r);
+  }
+}
+
 /* The schema and the code must name the same settings with the same ranges and defaults. */
 static void test_schema(void) {
   g_autofree char *text = NULL;
@@ -321,6 +345,7 @@
   g_test_add_func("/wire/integers", test_integers);
   g_test_add_func("/wire/report", test_report);
   g_test_add_func("/wire/chunk", test_chunk_record);
+  g_test_add_func("/wire/chunk_fits", test_chunk_fits);
   g_test_add_func("/wire/needs", test_needs);
   g_test_add_func("/wire/next", test_next);
   g_test_add_func("/wire/schema", test_schema);
