--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -82,6 +82,7 @@
   const FkVersion *before; /* all begin with it, and come back with the present one from `roll_at` on, one by
 one; who ends before its turn comes back as it was. NULL: all are of the present */
   double roll_at, roll_every_s;
+  gboolean waits_apart; /* who is left waiting beside room is judged by a schedule of its own */
   gboolean
       ask_no_more;   /* who was told how it ended doesn't ask again: nobody reads old ends for the others */
   guint now_txn_ops; /* until the limits fall; 0: as the settings have them */
