--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -88,7 +88,6 @@
   GPtrArray *needs;        /* UJob; NULL: none */
   gboolean waits_for_ends; /* its user submits it once all that it needs are over */
   const char *names;       /* a job that nobody submitted, or NULL */
-  gboolean tiny;
 } UJob;
 
 typedef struct {
--- a/src/lab/users.c
+++ b/src/lab/users.c
@@ -367,7 +367,6 @@
   j->cpus = 0.5;
   j->spot = TRUE;
   j->run_s = between(m, 1, 15);
-  j->tiny = TRUE;
   j->finished = g_new0(guint8, 1);
   user_acts(m, j);
   if (m->plan.cancels && chance(m, 0.25))
