--- a/src/grpc/h2.c
+++ b/src/grpc/h2.c
@@ -147,7 +147,7 @@
   if (!text || !*text)
     return NULL;
   GString *s = g_string_new("");
-  for (gsize i = 0; text[i] && i < MESSAGE_TEXT_MAX; i++) {
+  for (gsize i = 0; i < MESSAGE_TEXT_MAX && text[i]; i++) {
     guchar c = (guchar)text[i];
     if (c >= 0x20 && c <= 0x7e && c != '%')
       g_string_append_c(s, (char)c);
--- a/src/io/h2_conn.c
+++ b/src/io/h2_conn.c
@@ -11,8 +11,8 @@
   GSource *in, *out, *idle, *wake;
   GBytes *left;                         /* given by nghttp2, not yet taken by the stream */
   gint64 begun_us, idle_us, blocked_us; /* blocked: since when the stream takes nothing; 0: it does */
-  gboolean told;   /* to go */
-  gboolean called; /* has made a call */
+  gboolean told;                        /* to go */
+  gboolean called;                      /* has made a call */
   void (*over)(gpointer data, FkH2Conn *c);
   gpointer data;
 };
--- a/src/keys/keys.c
+++ b/src/keys/keys.c
@@ -79,6 +79,7 @@
     }
     key.team = g_strdup(team);
     g_array_append_val(k->keys, key);
+    /* cppcheck-suppress memleak ; the array owns the name now */
   }
   return g_steal_pointer(&k);
 }
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -398,6 +398,35 @@
   after(m, 0.2, world_tick, NULL);
 }
 
+static void sim_free(Sim *m) {
+  for (int i = 0; i < m->n; i++) {
+    if (m->ctl[i].core)
+      m->ctl[i].v->free(m->ctl[i].core);
+    g_clear_pointer(&m->ctl[i].settings, m->ctl[i].settings_free);
+  }
+  for (guint i = 0; i < m->calls->len; i++) {
+    Call *call = m->calls->pdata[i];
+    call->v->out_free(call->out);
+    g_free(call);
+  }
+  g_ptr_array_unref(m->calls);
+  g_ptr_array_unref(m->watches);
+  g_sequence_free(m->events);
+  g_hash_table_unref(m->requests);
+  g_hash_table_unref(m->truth);
+  g_hash_table_unref(m->store);
+  g_hash_table_unref(m->holds);
+  g_hash_table_unref(m->hires);
+  g_ptr_array_unref(m->history);
+  g_ptr_array_unref(m->kept);
+  g_hash_table_unref(m->by_id);
+  g_hash_table_unref(m->job_by_id);
+  g_ptr_array_unref(m->workers);
+  g_ptr_array_unref(m->jobs);
+  g_rand_free(m->rand);
+  g_free(m);
+}
+
 SimResult sim_run(const FkSettings *s, const SimPlan *plan) {
   Sim *m = g_new0(Sim, 1);
   m->s = s;
@@ -474,30 +503,6 @@
     m->r.live_keys += g_str_has_prefix(path, "fk/l/");
   }
   SimResult r = m->r;
-  for (int i = 0; i < m->n; i++) {
-    if (m->ctl[i].core)
-      m->ctl[i].v->free(m->ctl[i].core);
-    g_clear_pointer(&m->ctl[i].settings, m->ctl[i].settings_free);
-  }
-  for (guint i = 0; i < m->calls->len; i++) {
-    ((Call *)m->calls->pdata[i])->v->out_free(((Call *)m->calls->pdata[i])->out);
-    g_free(m->calls->pdata[i]);
-  }
-  g_ptr_array_unref(m->calls);
-  g_ptr_array_unref(m->watches);
-  g_sequence_free(m->events);
-  g_hash_table_unref(m->requests);
-  g_hash_table_unref(m->truth);
-  g_hash_table_unref(m->store);
-  g_hash_table_unref(m->holds);
-  g_hash_table_unref(m->hires);
-  g_ptr_array_unref(m->history);
-  g_ptr_array_unref(m->kept);
-  g_hash_table_unref(m->by_id);
-  g_hash_table_unref(m->job_by_id);
-  g_ptr_array_unref(m->workers);
-  g_ptr_array_unref(m->jobs);
-  g_rand_free(m->rand);
-  g_free(m);
+  sim_free(m);
   return r;
 }
--- a/src/rexec/settings.c
+++ b/src/rexec/settings.c
@@ -41,7 +41,7 @@
                   f->max);
       return FALSE;
     }
-    *(double *)((char *)s + f->offset) = j->valuedouble;
+    G_STRUCT_MEMBER(double, s, f->offset) = j->valuedouble;
     return TRUE;
   }
   g_set_error(error, settings_error(), 1, "%s: no such setting", j->string);
@@ -77,7 +77,7 @@
     return NULL;
   }
   for (guint i = 0; i < G_N_ELEMENTS(numbers); i++)
-    *(double *)((char *)s + numbers[i].offset) = numbers[i].fallback;
+    G_STRUCT_MEMBER(double, s, numbers[i].offset) = numbers[i].fallback;
   cJSON_ArrayForEach(j, o) {
     char **text_field = g_str_equal(j->string, "listen")      ? &s->listen
                         : g_str_equal(j->string, "directory") ? &s->directory
--- a/src/wire/settings.c
+++ b/src/wire/settings.c
@@ -205,7 +205,7 @@
                   f->max);
       return FALSE;
     }
-    *(double *)((char *)t + f->offset) = j->valuedouble;
+    G_STRUCT_MEMBER(double, t, f->offset) = j->valuedouble;
   }
   return TRUE;
 }
--- a/test/crowd.c
+++ b/test/crowd.c
@@ -353,7 +353,7 @@
   double worst, alone = in_turn(&s, 200, &worst);
   printf("one after the other: %.6f s each, worst %.4f s\n", alone, worst);
   static const guint sizes[] = {20, 100, 1000, 4000};
-  double each[G_N_ELEMENTS(sizes)];
+  double each[G_N_ELEMENTS(sizes)] = {0};
   for (guint i = 0; i < G_N_ELEMENTS(sizes); i++)
     each[i] = at_once(&s, sizes[i], alone);
   check(each[3] <= 3 * each[2], "four times the crowd costs each no more than three times as much");
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -266,7 +266,7 @@
     g_assert_cmpfloat(fk_json_num_or(p, "minimum", -1), ==, fields[i].min);
     g_assert_cmpfloat(fk_json_num_or(p, "maximum", -1), ==, fields[i].max);
     g_assert_cmpfloat(fk_json_num_or(p, "default", 0 /* derived */), ==,
-                      *(double *)((char *)&s->tuning + fields[i].offset));
+                      G_STRUCT_MEMBER(double, &s->tuning, fields[i].offset));
   }
 }
 
