--- a/src/lab/faults.c
+++ b/src/lab/faults.c
@@ -7,7 +7,7 @@
 
 static int leader_of(Sim *m) {
   g_autofree char *path = fk_key(FK_KEY_LEADER, "");
-  const Item *it = g_hash_table_lookup(m->store, path);
+  const FkStoreItem *it = fk_store_model_get(m->store, path);
   if (!it)
     return -1;
   g_autoptr(cJSON) j = fk_json_parse(it->value, strlen(it->value));
@@ -88,11 +88,7 @@
 
 void outage_begins(Sim *m, double s) {
   m->outage = m->now + (gint64)(s * 1e6);
-  GHashTableIter it;
-  gpointer h;
-  g_hash_table_iter_init(&it, m->holds);
-  while (g_hash_table_iter_next(&it, NULL, &h))
-    ((Hold *)h)->until = m->outage + (gint64)(((Hold *)h)->ttl * 1e6);
+  fk_store_model_extend_holds(m->store, m->outage);
 }
 
 static void fault_begins(Sim *m, gpointer p) {
--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -1,5 +1,6 @@
 /* What the files of the simulated world share. */
 #pragma once
+#include "lab/store_model.h"
 #include "lab/version.h"
 #include "lab/world.h"
 #define N_MAX 5
@@ -7,21 +8,6 @@
 #define SILENT -1.0
 #define ROOM_KEPT 90 /* s */
 
-typedef struct {
-  char *value; /* JSON */
-  guint64 stamp, hold;
-} Item;
-typedef struct {
-  char *path;
-  gboolean put;
-  guint64 stamp;
-  char *value;
-} Change;
-typedef struct {
-  gint64 until;
-  double ttl;
-} Hold;
-
 typedef struct {
   FkController *core; /* NULL: down */
   const FkVersion *v;
@@ -111,15 +97,15 @@
   SimPlan plan;
   GRand *rand;
   gint64 now;
-  guint64 order, epoch, next_hold, next_req, next_machine, next_serial;
+  guint64 order, next_req, next_machine, next_serial;
   GSequence *events;
-  GHashTable *store, *holds, *hires; /* path -> Item; id -> Hold; name -> GPtrArray */
-  GPtrArray *history;                /* Change */
+  FkStoreModel *store;
+  FkStoreBudget budget;
+  GHashTable *hires; /* name -> GPtrArray */
   gint64 outage;
   Ctl ctl[N_MAX];
-  int n;                       /* controllers */
-  double tokens, write_tokens; /* the store's budgets */
-  gint64 filled, slow_until, refused_until[N_MAX], peers_refuse_until;
+  int n; /* controllers */
+  gint64 slow_until, refused_until[N_MAX], peers_refuse_until;
   gint64 late_writes_until, held_until, copies_until, rush_until; /* faults of the plan, ... */
   double slow;                                                    /* times as slow as usual */
   double late_writes, held, copies;                               /* ... and their shares */
@@ -185,9 +171,6 @@
 gboolean waits_for_frozen(Sim *m, int ctl, void (*fn)(Sim *, gpointer), gpointer data);
 
 /* store.c */
-void item_free(gpointer p);
-void change_free(gpointer p);
-void expire_holds(Sim *m);
 /* The store's limits for values, in bytes, and changes in a transaction, now. */
 gsize value_most(const Sim *m);
 guint ops_most(const Sim *m);
--- a/src/lab/store.c
+++ b/src/lab/store.c
@@ -5,50 +5,11 @@
 #include "lab/sim.h"
 #include "wire/store.h"
 
-void item_free(gpointer p) {
-  Item *i = p;
-  g_free(i->value);
-  g_free(i);
-}
-
-void change_free(gpointer p) {
-  Change *c = p;
-  g_free(c->path);
-  g_free(c->value);
-  g_free(c);
-}
-
-static void record_change(Sim *m, const char *path, const char *value) {
-  Change *c = g_new0(Change, 1);
-  *c = (Change){g_strdup(path), value != NULL, m->epoch, g_strdup(value)};
-  g_ptr_array_add(m->history, c);
-}
-
-void expire_holds(Sim *m) {
-  GHashTableIter it, kt;
-  gpointer k, v, path, item;
-  g_hash_table_iter_init(&it, m->holds);
-  while (m->now >= m->outage && g_hash_table_iter_next(&it, &k, &v)) {
-    if (((Hold *)v)->until > m->now)
-      continue;
-    m->epoch++;
-    g_hash_table_iter_init(&kt, m->store);
-    while (g_hash_table_iter_next(&kt, &path, &item))
-      if (((Item *)item)->hold == *(guint64 *)k) {
-        record_change(m, path, NULL);
-        g_hash_table_iter_remove(&kt);
-      }
-    g_hash_table_iter_remove(&it);
-  }
-}
-
-static GPtrArray *changes_after(Sim *m, const FkVersion *v, guint64 after_rev) {
+static GPtrArray *changes_after(Sim *m, const FkVersion *v, const FkOut *o) {
   GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)v->event_free);
-  guint first = m->history->len;
-  while (first && ((Change *)m->history->pdata[first - 1])->stamp > after_rev)
-    first--;
-  for (guint i = first; i < m->history->len; i++) {
-    Change *c = m->history->pdata[i];
+  g_autoptr(GPtrArray) changes = fk_store_model_changes(m->store, o->path, o->rev.n);
+  for (guint i = 0; i < changes->len; i++) {
+    const FkStoreChange *c = changes->pdata[i];
     FkEvent *e = v->event(c->path, c->value, c->stamp);
     g_assert_true(e || v != &fk_version_present);
     if (e)
@@ -82,57 +43,62 @@
   return over;
 }
 
-static FkOutcome commit(Sim *m, const FkVersion *v, const FkOut *o, FkRev *epoch, GPtrArray *failed) {
-  g_autofree char *unguarded = check_txn(o);
-  if (unguarded)
-    broken(m, "unguarded", unguarded);
+/* What the controller's transaction is to the store; the values are printed by its version's codec. */
+static FkStoreOutcome apply(Sim *m, const FkVersion *v, const FkOut *o, GPtrArray *failed) {
+  g_autoptr(GArray) guards = g_array_new(FALSE, FALSE, sizeof(FkStoreGuard)),
+                    writes = g_array_new(FALSE, FALSE, sizeof(FkStoreWrite));
+  g_autoptr(GPtrArray) values = g_ptr_array_new_with_free_func(g_free);
   for (guint i = 0; i < o->guards->len; i++) {
     const FkGuard *g = &g_array_index(o->guards, FkGuard, i);
-    Item *it = g_hash_table_lookup(m->store, g->path);
-    if ((it ? it->stamp : 0) != g->rev.n)
-      g_ptr_array_add(failed, g_strdup(g->path));
+    FkStoreGuard guard = {g->path, g->rev.n};
+    g_array_append_val(guards, guard);
   }
-  if (over_limits(m, v, o))
-    return FK_INVALID;
   for (guint i = 0; i < o->writes->len; i++) {
     const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
-    if (w->record && w->hold.n && !g_hash_table_contains(m->holds, &w->hold.n))
-      return FK_INVALID;
+    g_autoptr(cJSON) j = w->record ? v->record_to_json(w->record) : NULL;
+    FkStoreWrite write = {w->path, j ? fk_json_print(j) : NULL, w->hold.n};
+    g_ptr_array_add(values, (gpointer)write.value);
+    g_array_append_val(writes, write);
   }
-  *epoch = (FkRev){m->epoch};
-  if (failed->len)
-    return FK_CONFLICT;
-  if (!o->writes->len)
-    return FK_OK;
-  m->epoch++;
+  return fk_store_model_commit(m->store, guards, writes, failed);
+}
+
+static gboolean names_leader(const FkOut *o) {
   for (guint i = 0; i < o->writes->len; i++) {
-    const FkWrite *w = &g_array_index(o->writes, FkWrite, i);
-    if (w->record) {
-      g_autoptr(cJSON) j = v->record_to_json(w->record);
-      Item *it = g_new0(Item, 1);
-      *it = (Item){fk_json_print(j), m->epoch, w->hold.n};
-      record_change(m, w->path, it->value);
-      g_hash_table_replace(m->store, g_strdup(w->path), it);
-      if (w->record->kind == FK_KEY_LEADER)
-        kept_reports_come(m);
-    } else if (g_hash_table_remove(m->store, w->path)) {
-      record_change(m, w->path, NULL);
-    }
+    const FkRecord *r = g_array_index(o->writes, FkWrite, i).record;
+    if (r && r->kind == FK_KEY_LEADER)
+      return TRUE;
   }
-  *epoch = (FkRev){m->epoch};
+  return FALSE;
+}
+
+static FkOutcome commit(Sim *m, const FkVersion *v, const FkOut *o, FkRev *epoch, GPtrArray *failed) {
+  g_autofree char *unguarded = check_txn(o);
+  if (unguarded)
+    broken(m, "unguarded", unguarded);
+  if (over_limits(m, v, o))
+    return FK_INVALID;
+  FkStoreOutcome r = apply(m, v, o, failed);
+  if (r == FK_STORE_NO_HOLD)
+    return FK_INVALID;
+  *epoch = (FkRev){fk_store_model_epoch(m->store)};
+  if (r == FK_STORE_CONFLICT)
+    return FK_CONFLICT;
+  if (names_leader(o))
+    kept_reports_come(m);
   return FK_OK;
 }
 
 gboolean refused(Sim *m, int ctl) { return m->now < m->outage || m->now < m->refused_until[ctl]; }
 
 static void watch_answer(Sim *m, Call *c) {
-  answer(c, FK_OK, (FkRev){m->epoch}, changes_after(m, c->v, c->out->rev.n), FALSE, NULL);
+  answer(c, FK_OK, (FkRev){fk_store_model_epoch(m->store)}, changes_after(m, c->v, c->out), FALSE, NULL);
 }
 
 void notify(Sim *m) {
   for (guint i = 0; i < m->watches->len;) {
     Call *c = m->watches->pdata[i];
-    if (!refused(m, c->ctl) && m->epoch > c->out->rev.n) {
+    if (!refused(m, c->ctl) && fk_store_model_epoch(m->store) > c->out->rev.n) {
       g_ptr_array_remove_index_fast(m->watches, i);
       watch_answer(m, c);
     } else {
@@ -154,21 +120,15 @@
     watch_answer(m, p);
 }
 
-/* The store's budgets, with bursts of one second's worth. */
+/* The store's budgets; FALSE: refused. */
 static gboolean within_budget(Sim *m, const FkOut *o) {
-  double s = (m->now - m->filled) / 1e6;
   guint writes = o->kind == FK_OUT_COMMIT ? o->writes->len : 0;
-  m->filled = m->now;
-  m->tokens = MIN(m->s->state_rps, m->tokens + s * m->s->state_rps);
   gboolean fallen = m->plan.limits_at > 0 && m->now >= (gint64)(m->plan.limits_at * 1e6);
-  double rate = fallen ? m->s->next_write_rps : m->s->state_write_rps;
-  m->write_tokens = MIN(rate, m->write_tokens + s * rate);
-  if (m->plan.budgets && (m->tokens < 1 || (writes && m->write_tokens < writes))) {
+  double write_rate = fallen ? m->s->next_write_rps : m->s->state_write_rps;
+  if (m->plan.budgets && !fk_store_budget_take(&m->budget, m->now, m->s->state_rps, write_rate, writes)) {
     m->r.refused++;
     return FALSE;
   }
-  m->tokens -= 1;
-  m->write_tokens -= writes;
   m->r.requests++;
   m->r.writes += writes;
   if (m->lost_at) {
@@ -189,84 +149,92 @@
     after(m, (double)(m->outage - m->now) / 1e6 + 0.01, commit_repeated, p);
     return;
   }
-  expire_holds(m);
+  fk_store_model_expire(m->store, m->now);
   commit(m, ((Call *)p)->v, ((Call *)p)->out, &epoch, failed);
   notify(m);
 }
 
+static void handle_commit(Sim *m, Call *c) {
+  const FkOut *o = c->out;
+  if (o->writes->len && m->now < m->late_writes_until && chance(m, m->late_writes)) {
+    after(m, between(m, 2, 12), commit_repeated, c); /* no answer, and carried out after newer ones */
+    return;
+  }
+  FkRev epoch = {fk_store_model_epoch(m->store)};
+  GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
+  FkOutcome r = commit(m, c->v, o, &epoch, failed);
+  if (m->now < m->lost_answers_until && touches(o, m->lost_of) && chance(m, m->lost_answers))
+    g_ptr_array_unref(failed); /* others see what it wrote; its sender is told nothing */
+  else
+    answer(c, r, epoch, failed, FALSE, NULL);
+  if (o->writes->len && chance(m, copies_now(m)))
+    after(m, once_more_after(m), commit_repeated, c);
+}
+
+static void add_item(GPtrArray *events, const FkVersion *v, const FkStoreItem *item) {
+  FkEvent *e = v->event(item->path, item->value, item->stamp);
+  if (e)
+    g_ptr_array_add(events, e);
+}
+
+static void handle_get(Sim *m, Call *c) {
+  const FkStoreItem *item = fk_store_model_get(m->store, c->out->path);
+  GPtrArray *one = g_ptr_array_new_with_free_func((GDestroyNotify)c->v->event_free);
+  if (item)
+    add_item(one, c->v, item);
+  answer(c, item ? FK_OK : FK_GONE, (FkRev){fk_store_model_epoch(m->store)}, one, FALSE, NULL);
+}
+
+#define LIST_FEW 7 /* small pages: many of them */
+#define LIST_MANY 200
+
+static void handle_list(Sim *m, Call *c) {
+  gboolean more;
+  g_autoptr(GPtrArray) items = fk_store_model_list(m->store, c->out->path, c->out->after,
+                                                   m->plan.up > 50 ? LIST_MANY : LIST_FEW, G_MAXSIZE, &more);
+  GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)c->v->event_free);
+  for (guint i = 0; i < items->len; i++)
+    add_item(events, c->v, items->pdata[i]);
+  answer(c, FK_OK, (FkRev){fk_store_model_epoch(m->store)}, events, more, NULL);
+}
+
+static void handle_watch(Sim *m, Call *c) {
+  if (fk_store_model_epoch(m->store) > c->out->rev.n || c->out->seconds <= 0) {
+    watch_answer(m, c);
+    return;
+  }
+  g_ptr_array_add(m->watches, c);
+  after(m, c->out->seconds, watch_ends, c);
+}
+
 void store_handles(Sim *m, gpointer p) {
   Call *c = p;
-  FkOut *o = c->out;
-  FkRev epoch = {m->epoch};
-  if (m->now < m->outage || m->now < m->refused_until[c->ctl] || !within_budget(m, o)) {
+  FkRev epoch = {fk_store_model_epoch(m->store)};
+  if (refused(m, c->ctl) || !within_budget(m, c->out)) {
     answer(c, FK_REFUSED, epoch, NULL, FALSE, NULL);
     return;
   }
-  expire_holds(m);
-  switch (o->kind) {
-  case FK_OUT_COMMIT: {
-    if (o->writes->len && m->now < m->late_writes_until && chance(m, m->late_writes)) {
-      after(m, between(m, 2, 12), commit_repeated, c); /* no answer, and carried out after newer ones */
-      break;
-    }
-    GPtrArray *failed = g_ptr_array_new_with_free_func(g_free);
-    FkOutcome r = commit(m, c->v, o, &epoch, failed);
-    if (m->now < m->lost_answers_until && touches(o, m->lost_of) && chance(m, m->lost_answers))
-      g_ptr_array_unref(failed); /* others see what it wrote; its sender is told nothing */
-    else
-      answer(c, r, epoch, failed, FALSE, NULL);
-    if (o->writes->len && chance(m, copies_now(m)))
-      after(m, once_more_after(m), commit_repeated, c);
+  fk_store_model_expire(m->store, m->now);
+  switch (c->out->kind) {
+  case FK_OUT_COMMIT:
+    handle_commit(m, c);
     break;
-  }
-  case FK_OUT_GET: {
-    Item *it = g_hash_table_lookup(m->store, o->path);
-    GPtrArray *one = g_ptr_array_new_with_free_func((GDestroyNotify)c->v->event_free);
-    if (it) {
-      FkEvent *e = c->v->event(o->path, it->value, it->stamp);
-      if (e)
-        g_ptr_array_add(one, e);
-    }
-    answer(c, it ? FK_OK : FK_GONE, epoch, one, FALSE, NULL);
+  case FK_OUT_GET:
+    handle_get(m, c);
     break;
-  }
-  case FK_OUT_LIST: {
-    GPtrArray *events = g_ptr_array_new_with_free_func((GDestroyNotify)c->v->event_free);
-    g_autoptr(GList) keys = g_list_sort(g_hash_table_get_keys(m->store), (GCompareFunc)g_strcmp0);
-    gboolean more = FALSE;
-    for (GList *l = keys; l && !more; l = l->next) {
-      if (!g_str_has_prefix(l->data, o->path) || g_strcmp0(l->data, o->after) <= 0)
-        continue;
-      Item *it = g_hash_table_lookup(m->store, l->data);
-      FkEvent *e = c->v->event(l->data, it->value, it->stamp);
-      if (e)
-        g_ptr_array_add(events, e);
-      more = events->len >= (m->plan.up > 50 ? 200 : 7); /* small pages: many of them */
-    }
-    answer(c, FK_OK, epoch, events, more, NULL);
+  case FK_OUT_LIST:
+    handle_list(m, c);
     break;
-  }
   case FK_OUT_WATCH:
-    if (m->epoch > o->rev.n || o->seconds <= 0) {
-      watch_answer(m, c);
-    } else {
-      g_ptr_array_add(m->watches, c);
-      after(m, o->seconds, watch_ends, c);
-    }
+    handle_watch(m, c);
     break;
-  case FK_OUT_HOLD_NEW: {
-    Hold *h = g_new0(Hold, 1);
-    *h = (Hold){m->now + (gint64)(o->seconds * 1e6), o->seconds};
-    epoch.n = ++m->next_hold;
-    g_hash_table_insert(m->holds, g_memdup2(&epoch.n, sizeof epoch.n), h);
+  case FK_OUT_HOLD_NEW:
+    epoch.n = fk_store_model_hold(m->store, m->now, c->out->seconds);
     answer(c, FK_OK, epoch, NULL, FALSE, NULL);
     break;
-  }
   default: {
-    Hold *h = g_hash_table_lookup(m->holds, &o->rev.n);
-    if (h)
-      h->until = m->now + (gint64)(h->ttl * 1e6);
-    answer(c, h ? FK_OK : FK_GONE, epoch, NULL, FALSE, NULL);
+    gboolean held = fk_store_model_renew(m->store, m->now, c->out->rev.n);
+    answer(c, held ? FK_OK : FK_GONE, epoch, NULL, FALSE, NULL);
   }
   }
   notify(m);
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -377,7 +377,8 @@
 }
 
 static void world_tick(Sim *m, gpointer p) {
-  expire_holds(m);
+  if (m->now >= m->outage)
+    fk_store_model_expire(m->store, m->now);
   notify(m);
   for (guint i = 0; i < m->workers->len; i++) {
     Worker *w = m->workers->pdata[i];
@@ -398,6 +399,12 @@
   after(m, 0.2, world_tick, NULL);
 }
 
+static guint keys_below(const Sim *m, const char *prefix) {
+  gboolean more;
+  g_autoptr(GPtrArray) keys = fk_store_model_list(m->store, prefix, NULL, G_MAXUINT, G_MAXSIZE, &more);
+  return keys->len;
+}
+
 static void sim_free(Sim *m) {
   for (int i = 0; i < m->n; i++) {
     if (m->ctl[i].core)
@@ -414,10 +421,8 @@
   g_sequence_free(m->events);
   g_hash_table_unref(m->requests);
   g_hash_table_unref(m->truth);
-  g_hash_table_unref(m->store);
-  g_hash_table_unref(m->holds);
+  fk_store_model_free(m->store);
   g_hash_table_unref(m->hires);
-  g_ptr_array_unref(m->history);
   g_ptr_array_unref(m->kept);
   g_hash_table_unref(m->by_id);
   g_hash_table_unref(m->job_by_id);
@@ -434,10 +439,8 @@
   m->n = plan->controllers ? (int)plan->controllers : 3;
   m->rand = g_rand_new_with_seed((guint32)plan->seed);
   m->events = g_sequence_new(g_free);
-  m->store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
-  m->holds = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+  m->store = fk_store_model_new(0);
   m->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
-  m->history = g_ptr_array_new_with_free_func(change_free);
   m->kept = g_ptr_array_new_with_free_func((GDestroyNotify)fk_report_free);
   m->workers = g_ptr_array_new_with_free_func(worker_free);
   m->jobs = g_ptr_array_new_with_free_func(ujob_free);
@@ -495,13 +498,8 @@
     }
   }
   m->r.worst_class = worst_class(m);
-  GHashTableIter live;
-  gpointer path;
-  g_hash_table_iter_init(&live, m->store);
-  while (g_hash_table_iter_next(&live, &path, NULL)) {
-    m->r.live_jobs += g_str_has_prefix(path, "fk/l/j/");
-    m->r.live_keys += g_str_has_prefix(path, "fk/l/");
-  }
+  m->r.live_jobs = keys_below(m, "fk/l/j/");
+  m->r.live_keys = keys_below(m, "fk/l/");
   SimResult r = m->r;
   sim_free(m);
   return r;
