The world's workers are a model of their own, without clock or socket

src/lab/worker_model.c: session, tokens, lease, tasks and orders, for the simulated world now and for hollow workers on loopback next.

--- a/src/lab/cloud.c
+++ b/src/lab/cloud.c
@@ -3,8 +3,8 @@
 
 /* Something runs there, or is to; ended attempts may stay in its reports for long. */
 static gboolean at_work(const Worker *w) {
-  for (guint i = 0; i < w->tasks->len; i++)
-    if (((WTask *)w->tasks->pdata[i])->state != FK_TASK_EXITED)
+  for (guint i = 0; i < w->model.tasks->len; i++)
+    if (((FkWorkerTask *)w->model.tasks->pdata[i])->state != FK_TASK_EXITED)
       return TRUE;
   return FALSE;
 }
@@ -42,11 +42,10 @@
         return;
       }
       names = g_ptr_array_new_with_free_func(g_free);
-      for (guint i = 0; i < o->count && here + i < MAX(m->plan.machines, m->plan.up); i++)
-        g_ptr_array_add(names, g_strdup(new_worker(m, o->zone, o->spot,
-                                                   m->plan.boot_s > 0 ? between(m, 0.6, m->plan.boot_s)
-                                                                      : between(m, 1, 8))
-                                            ->id));
+      for (guint i = 0; i < o->count && here + i < MAX(m->plan.machines, m->plan.up); i++) {
+        double boot_s = m->plan.boot_s > 0 ? between(m, 0.6, m->plan.boot_s) : between(m, 1, 8);
+        g_ptr_array_add(names, g_strdup(new_worker(m, o->zone, o->spot, boot_s)->model.id));
+      }
       g_hash_table_insert(m->hires, g_strdup(o->name), names);
     }
     answer(c, FK_OK, (FkRev){0}, g_ptr_array_ref(names), FALSE, NULL);
@@ -71,10 +70,10 @@
       if (w->gone || m->now - w->born < 4000000)
         continue; /* the list lags */
       FkListed *l = g_new0(FkListed, 1);
-      *l = (FkListed){
-          g_strdup(w->id),         g_strdup(w->id), g_strdup(w->type),
-          g_strdup(w->zone),       w->spot,         w->up ? FK_MACHINE_RUNNING : FK_MACHINE_BOOTING,
-          (m->now - w->born) / 1e6};
+      *l = (FkListed){g_strdup(w->model.id),   g_strdup(w->model.id),
+                      g_strdup(w->model.type), g_strdup(w->model.zone),
+                      w->model.spot,           w->up ? FK_MACHINE_RUNNING : FK_MACHINE_BOOTING,
+                      (m->now - w->born) / 1e6};
       g_ptr_array_add(list, l);
     }
     answer(c, FK_OK, (FkRev){0}, list, FALSE, NULL);
--- a/src/lab/faults.c
+++ b/src/lab/faults.c
@@ -75,8 +75,9 @@
       after(m, between(m, 0, 0.2), user_cancels, j);
       for (guint k = 0; hang && k < m->workers->len; k++) {
         Worker *w = m->workers->pdata[k];
-        for (guint n = 0; !w->gone && m->now >= w->hung && n < w->tasks->len; n++)
-          if (((WTask *)w->tasks->pdata[n])->on && g_str_equal(((WTask *)w->tasks->pdata[n])->job, j->id)) {
+        for (guint n = 0; !w->gone && m->now >= w->hung && n < w->model.tasks->len; n++)
+          if (((FkWorkerTask *)w->model.tasks->pdata[n])->on &&
+              g_str_equal(((FkWorkerTask *)w->model.tasks->pdata[n])->job, j->id)) {
             w->hung = until(m, f);
             hang--;
             break;
--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -2,6 +2,7 @@
 #pragma once
 #include "lab/store_model.h"
 #include "lab/version.h"
+#include "lab/worker_model.h"
 #include "lab/world.h"
 #define N_MAX 5
 #define DEADLINE_S 2.0
@@ -20,26 +21,13 @@
 } Ctl;
 
 typedef struct {
-  char *job;
-  guint32 task;
-  guint64 attempt;
-  FkTaskState state;
-  FkWhy why;
-  guint64 serial;
-  gboolean on; /* holds its image: on the machine */
-} WTask;
-
-typedef struct {
-  char *id, *type, *zone;
-  gboolean spot, up, gone, sick;
+  FkWorkerModel model;
+  gboolean up, gone, sick;
   gint64 hung;
   gint64 deaf;           /* until then nothing reaches it; what it sends arrives */
   gboolean deaf_holds;   /* ... and commands are held back until then, not lost */
   gint64 mute;           /* until then it reaches no controller; direct commands reach it */
   float room[ROOM_KEPT]; /* CPUs free, a look a second, the latest of them round */
-  guint64 session, seq, token;
-  gint64 lease_base;
-  GPtrArray *tasks;
   guint home;
   guint life;       /* what was sent to an earlier one belongs to connections that are gone */
   guint64 inflight; /* the report under way */
--- a/src/lab/troubles.c
+++ b/src/lab/troubles.c
@@ -29,8 +29,8 @@
     Worker *w = m->workers->pdata[i];
     if (w->gone || seen++ % every)
       continue;
-    for (guint k = 0; k < w->tasks->len; k++) {
-      WTask *t = w->tasks->pdata[k];
+    for (guint k = 0; k < w->model.tasks->len; k++) {
+      FkWorkerTask *t = w->model.tasks->pdata[k];
       if (t->on)
         r->lost += job_of(m, t->job)->lost = TRUE;
     }
@@ -59,7 +59,7 @@
       continue;
     w->deaf = m->now + (gint64)(s * 1e6);
     w->deaf_holds = chance(m, 0.5);
-    g_debug("WORLD %.3f %s hears nothing for %.1f s", m->now / 1e6, w->id, s);
+    g_debug("WORLD %.3f %s hears nothing for %.1f s", m->now / 1e6, w->model.id, s);
   }
 }
 
--- a/src/lab/users.c
+++ b/src/lab/users.c
@@ -462,8 +462,8 @@
   float room = 8;
   if (w->gone || !w->up || w->sick || m->now < MAX(w->hung, MAX(w->deaf, w->mute)))
     return 0;
-  for (guint k = 0; k < w->tasks->len; k++) {
-    const WTask *t = w->tasks->pdata[k];
+  for (guint k = 0; k < w->model.tasks->len; k++) {
+    const FkWorkerTask *t = w->model.tasks->pdata[k];
     room -= t->state != FK_TASK_EXITED ? (float)job_of(m, t->job)->cpus : 0;
   }
   return room;
@@ -487,13 +487,13 @@
   }
   for (guint i = 0; i < m->workers->len; i++) {
     const Worker *w = m->workers->pdata[i];
-    for (guint k = 0; !w->gone && k < w->tasks->len; k++) {
-      const WTask *t = w->tasks->pdata[k];
+    for (guint k = 0; !w->gone && k < w->model.tasks->len; k++) {
+      const FkWorkerTask *t = w->model.tasks->pdata[k];
       UJob *j = job_of(m, t->job);
       if (t->state == FK_TASK_EXITED || j->finished[t->task])
         continue;
       j->placed++;
-      (w->zone[0] == 'n' ? j->north++ : j->south++);
+      (w->model.zone[0] == 'n' ? j->north++ : j->south++);
       double *used = g_hash_table_lookup(team_cpus, j->team);
       if (!used)
         g_hash_table_insert(team_cpus, j->team, used = g_new0(double, 1));
@@ -508,10 +508,10 @@
   guint need = j->shape == FK_SHAPE_GANG ? waiting : 1, north = 0, south = 0;
   for (guint i = 0; i < m->workers->len; i++) {
     const Worker *w = m->workers->pdata[i];
-    if (w->gone || (w->spot && !j->spot) || (j->zone && !g_str_equal(j->zone, w->zone)))
+    if (w->gone || (w->model.spot && !j->spot) || (j->zone && !g_str_equal(j->zone, w->model.zone)))
       continue;
     float room = lasting ? lasting_room(w) : w->room[look_number(m)];
-    *(w->zone[0] == 'n' ? &north : &south) += (guint)(room / j->cpus + 1e-4);
+    *(w->model.zone[0] == 'n' ? &north : &south) += (guint)(room / j->cpus + 1e-4);
   }
   if (j->one_zone)
     return j->north ? north >= need : j->south ? south >= need : MAX(north, south) >= need;
@@ -568,7 +568,8 @@
         if (!w->gone && lasting_room(w) >= j->cpus)
           g_message("WORLD %s %s spot %d has had %.1f CPUs free, token %" G_GUINT64_FORMAT
                     " session %" G_GUINT64_FORMAT " home c-%u",
-                    w->id, w->zone, w->spot, lasting_room(w), w->token, w->session, w->home);
+                    w->model.id, w->model.zone, w->model.spot, lasting_room(w), w->model.token,
+                    w->model.session, w->home);
       }
       broken(m, "left waiting", what);
     }
--- a/src/lab/workers.c
+++ b/src/lab/workers.c
@@ -3,37 +3,50 @@
 
 #include "lab/sim.h"
 
-static void wtask_free(gpointer p) {
-  WTask *t = p;
-  g_free(t->job);
-  g_free(t);
-}
+#define BOX_CPUS 8.0 /* of the only type of machine */
 
 void worker_free(gpointer p) {
   Worker *w = p;
-  g_free(w->id);
-  g_free(w->type);
-  g_free(w->zone);
-  g_ptr_array_unref(w->tasks);
+  fk_worker_model_clear(&w->model);
   g_free(w);
 }
 
-static char *truth_key(const WTask *t) { return g_strdup_printf("%s/%u", t->job, t->task); }
+static char *truth_key(const FkWorkerTask *t) { return g_strdup_printf("%s/%u", t->job, t->task); }
 
-static void leaves(Sim *m, Worker *w, WTask *t) {
-  if (!t->on)
-    return;
-  t->on = FALSE;
+static double cpus_of(gpointer sim, const char *job) { return job_of(sim, job)->cpus; }
+
+static void step(Sim *m, gpointer p);
+
+typedef struct {
+  Worker *w;
+  guint64 serial;
+  int step;
+} Step;
+
+/* The model is a worker's first member. */
+static Worker *owner_of(FkWorkerModel *model) { return (Worker *)model; }
+
+static void task_accepted(gpointer sim, FkWorkerModel *model, FkWorkerTask *t) {
+  Step *s = g_new0(Step, 1);
+  *s = (Step){owner_of(model), t->serial, 0};
+  after(sim, between(sim, 0.1, 3), step, s);
+}
+
+static void task_left(gpointer sim, FkWorkerModel *model, FkWorkerTask *t) {
+  Sim *m = sim;
   g_autofree char *key = truth_key(t);
-  if (g_hash_table_lookup(m->truth, key) == w)
+  if (g_hash_table_lookup(m->truth, key) == owner_of(model))
     g_hash_table_remove(m->truth, key);
 }
 
+static FkWorkerHooks hooks_of(Sim *m) {
+  return (FkWorkerHooks){cpus_of, task_accepted, task_left, m, &m->next_serial};
+}
+
 static void wipe(Sim *m, Worker *w) {
-  g_debug("WORLD %.3f %s wiped", m->now / 1e6, w->id);
-  for (guint i = 0; i < w->tasks->len; i++)
-    leaves(m, w, w->tasks->pdata[i]);
-  g_ptr_array_set_size(w->tasks, 0);
+  g_debug("WORLD %.3f %s wiped", m->now / 1e6, w->model.id);
+  const FkWorkerHooks hooks = hooks_of(m);
+  fk_worker_model_wipe(&w->model, &hooks);
 }
 
 /* It is no more, and nothing that ran there. */
@@ -44,31 +57,6 @@
 
 gboolean hung(Sim *m, const Worker *w) { return m->now < w->hung; }
 
-static FkReport *report_of(Worker *w) {
-  FkReport *r = fk_report_new();
-  r->machine = g_strdup(w->id);
-  r->addr = g_strdup(w->id);
-  r->type = g_strdup(w->type);
-  r->zone = g_strdup(w->zone);
-  r->spot = w->spot;
-  r->session = w->session;
-  r->seq = ++w->seq;
-  r->token.n = w->token;
-  for (guint i = 0; i < w->tasks->len; i++) {
-    WTask *t = w->tasks->pdata[i];
-    FkTaskReport *tr = g_new0(FkTaskReport, 1);
-    *tr = (FkTaskReport){g_strdup(t->job), t->task, {t->attempt}, t->state, t->why};
-    g_ptr_array_add(r->tasks, tr);
-  }
-  return r;
-}
-
-typedef struct {
-  Worker *w;
-  guint64 serial;
-  int step;
-} Step;
-
 /* One of the replicas that were lost together runs again. */
 static void came_back(Sim *m, UJob *j) {
   SimRecovery *r = &m->r.recovery;
@@ -87,33 +75,33 @@
   }
 }
 
-static void check_start(Sim *m, Worker *w, WTask *t) {
+static void check_start(Sim *m, Worker *w, FkWorkerTask *t) {
   g_debug("WORLD %.3f %s/%u try %" G_GUINT64_FORMAT " starts on %s session %" G_GUINT64_FORMAT
           " token %" G_GUINT64_FORMAT,
-          m->now / 1e6, t->job, t->task, t->attempt, w->id, w->session, w->token);
+          m->now / 1e6, t->job, t->task, t->attempt, w->model.id, w->model.session, w->model.token);
   UJob *j = job_of(m, t->job);
   g_autofree char *key = truth_key(t);
   if (g_hash_table_contains(m->truth, key))
     broken(m, "ran_twice", key);
   if (!needs_done(j))
     broken(m, "too_early", key);
-  if ((w->spot && !j->spot) || (j->zone && !g_str_equal(j->zone, w->zone)))
+  if ((w->model.spot && !j->spot) || (j->zone && !g_str_equal(j->zone, w->model.zone)))
     broken(m, "wrong_place", key);
   double used = j->cpus;
   guint same = 1;
   for (guint i = 0; i < m->workers->len; i++) {
     Worker *o = m->workers->pdata[i];
-    for (guint k = 0; k < o->tasks->len; k++) {
-      WTask *x = o->tasks->pdata[k];
+    for (guint k = 0; k < o->model.tasks->len; k++) {
+      FkWorkerTask *x = o->model.tasks->pdata[k];
       if (!x->on)
         continue;
       UJob *xj = job_of(m, x->job);
       if (g_str_equal(xj->team, j->team))
         used += xj->cpus;
       if (xj == j) {
-        if (j->one_zone && !g_str_equal(o->zone, w->zone))
+        if (j->one_zone && !g_str_equal(o->model.zone, w->model.zone))
           broken(m, "wrong_place", key);
-        same += g_str_equal(o->zone, w->zone);
+        same += g_str_equal(o->model.zone, w->model.zone);
       }
     }
   }
@@ -129,10 +117,7 @@
 static void step(Sim *m, gpointer p) {
   Step *s = p;
   Worker *w = s->w;
-  WTask *t = NULL;
-  for (guint i = 0; !w->gone && i < w->tasks->len; i++)
-    if (((WTask *)w->tasks->pdata[i])->serial == s->serial)
-      t = w->tasks->pdata[i];
+  FkWorkerTask *t = w->gone ? NULL : fk_worker_model_task(&w->model, s->serial);
   if (!t || t->state == FK_TASK_EXITED) {
     g_free(s);
     return;
@@ -161,7 +146,8 @@
     g_free(s);
     return;
   }
-  leaves(m, w, t);
+  const FkWorkerHooks hooks = hooks_of(m);
+  fk_worker_model_leave(&w->model, &hooks, t);
   t->state = FK_TASK_EXITED;
   t->why = fails ? FK_WHY_ERROR : FK_WHY_DONE;
   if (t->why == FK_WHY_DONE) {
@@ -173,57 +159,16 @@
   g_free(s);
 }
 
-static void execute(Sim *m, Worker *w, GPtrArray *orders) {
-  for (guint i = 0; orders && i < orders->len; i++) {
-    FkOrder *o = orders->pdata[i];
-    WTask *t = NULL;
-    gboolean other = FALSE;
-    double used = 0;
-    for (guint k = 0; k < w->tasks->len; k++) {
-      WTask *x = w->tasks->pdata[k];
-      if (g_str_equal(x->job, o->job) && x->task == o->task) {
-        if (x->attempt == o->attempt.n)
-          t = x;
-        else if (x->state != FK_TASK_EXITED)
-          other = TRUE;
-      }
-      if (x->state != FK_TASK_EXITED)
-        used += job_of(m, x->job)->cpus;
-    }
-    if (o->op == FK_ORDER_START && !t) {
-      UJob *j = job_of(m, o->job);
-      t = g_new0(WTask, 1);
-      *t = (WTask){g_strdup(o->job), o->task,          o->attempt.n, FK_TASK_FETCHING,
-                   FK_WHY_NONE,      ++m->next_serial, FALSE};
-      if (used + j->cpus > 8 + 1e-6 || other) {
-        t->state = FK_TASK_EXITED;
-        t->why = other ? FK_WHY_BUSY : FK_WHY_FULL;
-      } else {
-        Step *s = g_new0(Step, 1);
-        *s = (Step){w, t->serial, 0};
-        after(m, between(m, 0.1, 3), step, s);
-      }
-      g_ptr_array_add(w->tasks, t);
-    } else if (o->op == FK_ORDER_STOP && t && t->state != FK_TASK_EXITED) {
-      leaves(m, w, t);
-      t->state = FK_TASK_EXITED;
-      t->why = FK_WHY_STOPPED;
-    } else if (o->op == FK_ORDER_FORGET && t && t->state == FK_TASK_EXITED) {
-      g_ptr_array_remove(w->tasks, t);
-    }
-  }
-}
-
 Worker *worker_of(Sim *m, const char *id) { return g_hash_table_lookup(m->by_id, id); }
 
 void check_lease(Sim *m, Worker *w) {
-  if (m->now - w->lease_base > (gint64)(m->s->lease_s * 1e6)) {
-    m->r.lapsed += w->tasks->len > 0;
-    wipe(m, w);
-    g_debug("WORLD %.3f %s session %" G_GUINT64_FORMAT " is over", m->now / 1e6, w->id, w->session);
-    w->session++;
-    w->lease_base = m->now;
-  }
+  const FkWorkerHooks hooks = hooks_of(m);
+  gboolean had_tasks = w->model.tasks->len > 0;
+  if (!fk_worker_model_expire(&w->model, &hooks, m->now, m->s->lease_s))
+    return;
+  m->r.lapsed += had_tasks;
+  g_debug("WORLD %.3f %s session %" G_GUINT64_FORMAT " has begun", m->now / 1e6, w->model.id,
+          w->model.session);
 }
 
 /* What arrives at the worker is carried out if token and session stand, however late, and as often as it
@@ -239,12 +184,8 @@
     return -1;
   }
   check_lease(m, w);
-  gboolean ok = c->out->token.n >= w->token && c->out->session == w->session;
-  if (ok) {
-    w->token = c->out->token.n;
-    execute(m, w, c->out->orders);
-  }
-  return ok;
+  const FkWorkerHooks hooks = hooks_of(m);
+  return fk_worker_model_commanded(&w->model, &hooks, c->out->session, c->out->token, c->out->orders);
 }
 
 static void command_repeated(Sim *m, gpointer p) { take_command(m, p, command_repeated); }
@@ -254,7 +195,7 @@
   int ok = take_command(m, c, worker_commanded);
   if (ok < 0)
     return;
-  FkReport *says = report_of(worker_of(m, c->out->addr));
+  FkReport *says = fk_worker_model_report(&worker_of(m, c->out->addr)->model);
   if (m->now < m->held_until && chance(m, m->held))
     fk_report_free(says); /* the answer is held for longer than anybody waits for it */
   else
@@ -392,17 +333,17 @@
     return;
   Hello *h = g_new0(Hello, 1);
   Req *r = g_new0(Req, 1);
-  *r = (Req){0, w, {m->now}, w->inflight, w->session, NULL, 0};
-  *h = (Hello){(int)w->home, c->gen, report_of(w), r};
+  *r = (Req){0, w, {m->now}, w->inflight, w->model.session, NULL, 0};
+  *h = (Hello){(int)w->home, c->gen, fk_worker_model_report(&w->model), r};
   for (guint copies = 3; copies && chance(m, copies_now(m)); copies--)
     after(m, once_more_after(m), copy_arrives, report_copy(h->report));
   if (m->now < m->keep_until && m->kept->len < KEPT_MAX && chance(m, m->keep))
     g_ptr_array_add(m->kept, report_copy(h->report));
   /* a cut may hold a report back and deliver it late */
-  double d = apart(m, ctl_zone((int)w->home), w->zone) ? until_healed(m)
-             : m->now < c->cut_workers                 ? (c->cut_workers - m->now) / 1e6 + 0.01
-             : chance(m, m->plan.late)                 ? between(m, 1, 20)
-                                                       : 0.002;
+  double d = apart(m, ctl_zone((int)w->home), w->model.zone) ? until_healed(m)
+             : m->now < c->cut_workers                       ? (c->cut_workers - m->now) / 1e6 + 0.01
+             : chance(m, m->plan.late)                       ? between(m, 1, 20)
+                                                             : 0.002;
   after(m, d, report_arrives, h);
 }
 
@@ -415,11 +356,8 @@
     if (w->inflight == r->req.report) {
       guint64 report = w->inflight = ++m->next_serial; /* answered: its time can't run out any more */
       if (r->status == 200) {
-        if (r->token.n >= w->token && r->req.session == w->session) {
-          w->token = r->token.n;
-          w->lease_base = r->req.sent.us;
-          execute(m, w, r->orders);
-        }
+        const FkWorkerHooks hooks = hooks_of(m);
+        fk_worker_model_answered(&w->model, &hooks, r->req.session, r->req.sent.us, r->token, r->orders);
         next_in(m, w, report, m->s->report_s * between(m, 0.2, 1.25), FALSE);
       } else if (r->status == 421 && r->to >= 0 && r->to != (int)w->home) {
         w->home = (guint)r->to;
@@ -439,23 +377,19 @@
   if (w->gone)
     return;
   w->up = TRUE;
-  w->lease_base = m->now;
+  w->model.lease_base = m->now;
   report_sent(m, w);
 }
 
 Worker *new_worker(Sim *m, const char *zone, gboolean spot, double boot) {
   Worker *w = g_new0(Worker, 1);
-  w->id = g_strdup_printf("i-%06" G_GUINT64_FORMAT, ++m->next_machine);
-  w->type = g_strdup("box8");
-  w->zone = g_strdup(zone);
-  w->spot = spot;
-  w->session = 1;
-  w->tasks = g_ptr_array_new_with_free_func(wtask_free);
+  g_autofree char *id = g_strdup_printf("i-%06" G_GUINT64_FORMAT, ++m->next_machine);
+  fk_worker_model_init(&w->model, id, id, "box8", zone, spot, BOX_CPUS);
   w->home = (guint)g_rand_int_range(m->rand, 0, m->n);
   w->born = m->now;
   w->sick = m->plan.deaths && chance(m, 0.1);
   g_ptr_array_add(m->workers, w);
-  g_hash_table_insert(m->by_id, w->id, w);
+  g_hash_table_insert(m->by_id, w->model.id, w);
   if (boot < 0.6 || !chance(m, m->plan.stillborn))
     after(m, boot, boots, w);
   return w;
@@ -466,17 +400,17 @@
   if (w->gone)
     return;
   w->up = TRUE;
-  w->session = 1;
-  w->seq = w->token = w->inflight = 0;
+  w->model.session = 1;
+  w->model.seq = w->model.token = w->inflight = 0;
   w->home = (guint)g_rand_int_range(m->rand, 0, m->n); /* it knows of nobody's claim */
-  w->lease_base = m->now;
+  w->model.lease_base = m->now;
   report_sent(m, w);
 }
 
 void reboot(Sim *m, Worker *w) {
   if (w->gone || !w->up)
     return;
-  g_debug("WORLD %.3f %s begins anew", m->now / 1e6, w->id);
+  g_debug("WORLD %.3f %s begins anew", m->now / 1e6, w->model.id);
   wipe(m, w);
   w->up = FALSE;
   w->life++;
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -173,7 +173,7 @@
   *a = (Answer){c, o, epoch, list, more, report};
   const Worker *w = c->out->kind == FK_OUT_COMMANDS ? g_hash_table_lookup(m->by_id, c->out->addr) : NULL;
   double s = between(m, 0.001, 0.008);
-  after(m, apart(m, ctl_zone(c->ctl), w ? w->zone : NULL) ? until_healed(m) : s, answer_arrives, a);
+  after(m, apart(m, ctl_zone(c->ctl), w ? w->model.zone : NULL) ? until_healed(m) : s, answer_arrives, a);
 }
 
 /* Controllers ask each other what they have seen of the store. */
@@ -230,7 +230,7 @@
         if (!apart(m, ctl_zone(i), NULL))
           user_told(m, req, o);
       } else if (!chance(m, m->plan.lost) && m->now >= m->ctl[i].cut_workers &&
-                 !apart(m, ctl_zone(i), req->w->zone)) {
+                 !apart(m, ctl_zone(i), req->w->model.zone)) {
         Reply *r = g_new0(Reply, 1);
         *r = (Reply){req->w, *req, o->status, o->token, o->orders ? g_ptr_array_ref(o->orders) : NULL, -1};
         for (int n = 0; o->report_to && n < m->n; n++) {
@@ -246,9 +246,9 @@
     case FK_OUT_COMMANDS: {
       const Worker *w = g_hash_table_lookup(m->by_id, o->addr);
       c->life = w ? w->life : 0;
-      double d = w && apart(m, ctl_zone(i), w->zone) ? until_healed(m)
-                 : m->now < m->ctl[i].cut_workers    ? (m->ctl[i].cut_workers - m->now) / 1e6 + 0.01
-                 : chance(m, m->plan.late)           ? between(m, 1, 30)
+      double d = w && apart(m, ctl_zone(i), w->model.zone) ? until_healed(m)
+                 : m->now < m->ctl[i].cut_workers          ? (m->ctl[i].cut_workers - m->now) / 1e6 + 0.01
+                 : chance(m, m->plan.late)                 ? between(m, 1, 30)
                  : m->now < m->held_until && chance(m, m->held) ? between(m, 1, 15)
                                                                 : 0.002;
       after(m, d, worker_commanded, c);
@@ -385,8 +385,8 @@
     if (w->gone || !w->up)
       continue;
     check_lease(m, w); /* a hanging machine may resume within its lease, not after */
-    for (guint k = 0; k < w->tasks->len; k++) {
-      WTask *t = w->tasks->pdata[k];
+    for (guint k = 0; k < w->model.tasks->len; k++) {
+      FkWorkerTask *t = w->model.tasks->pdata[k];
       UJob *j = job_of(m, t->job);
       if (t->on && j->told_cancelled)
         m->r.gone_s = MAX(m->r.gone_s, (double)(m->now - j->cancelled_at) / 1e6);
