--- a/src/lab/main.c
+++ b/src/lab/main.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 #include "lab/recovery.h"
+#include "lab/scale/scale.h"
 
 static const struct {
   const char *name, *what;
   int (*run)(int argc, char **argv);
 } subcommands[] = {
-    {"recovery", "how long a fleet takes to recover from the loss of many machines", fk_lab_recovery}};
+    {"recovery", "how long a fleet takes to recover from the loss of many machines", fk_lab_recovery},
+    {"scale", "real controllers against thousands of hollow workers, in real time", fk_lab_scale}};
 
 static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
   if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING) || g_getenv("LOG_LEVEL"))
--- /dev/null
+++ b/src/lab/scale/fleet.c
@@ -0,0 +1,301 @@
+#include "lab/scale/fleet.h"
+
+#include "lab/scale/fleet_internal.h"
+
+#define CALLS_MOST 4000
+#define ANSWER_MOST (1 << 20)
+#define UP_WITHIN_S 5.0 /* of the beginning: machines that are there from the start */
+#define LISTED_BEFORE_S 60.0
+#define FETCHED_S 0.02 /* an image that is at hand */
+#define RACK 40
+#define RESTART_SHARE 0.951           /* 1,700 restarts for 88 failures a day */
+#define CHURN_A_DAY (1788.0 / 7600.0) /* a machine */
+
+void fk_fleet_after(Fleet *f, double seconds, FkAgendaFn fn, gpointer data) {
+  fk_agenda_add(f->agenda, g_get_monotonic_time() + (gint64)(seconds * 1e6), fn, data);
+}
+
+const FkSpec *fk_fleet_spec(Fleet *f, const char *job) {
+  FkSpec *s = g_hash_table_lookup(f->specs, job);
+  if (!s && (s = fk_scale_job(f->plan, job)))
+    g_hash_table_insert(f->specs, s->id, s);
+  return s;
+}
+
+/* ------------------------------------------------------------------ tasks */
+
+typedef struct {
+  Machine *machine;
+  guint64 serial;
+} Step;
+
+static void schedule(Fleet *f, Machine *m, guint64 serial, double seconds, FkAgendaFn fn) {
+  Step *s = g_new0(Step, 1);
+  *s = (Step){m, serial};
+  fk_fleet_after(f, seconds, fn, s);
+}
+
+/* The task that the step is about; NULL: it is no more. */
+static FkWorkerTask *task_of(const Step *s) {
+  FkWorkerTask *t = s->machine->gone ? NULL : fk_worker_model_task(&s->machine->model, s->serial);
+  return t && t->state != FK_TASK_EXITED ? t : NULL;
+}
+
+static char *task_key(const FkWorkerTask *t) { return g_strdup_printf("%s/%u", t->job, t->task); }
+
+static void task_ends(gpointer fleet, gpointer data) {
+  Fleet *f = fleet;
+  g_autofree Step *s = data;
+  FkWorkerTask *t = task_of(s);
+  if (!t)
+    return;
+  g_hash_table_add(f->finished, task_key(t));
+  fk_event_log_add(f->events, FK_EVENT_ENDED, t->job, t->task, s->machine->model.id);
+  fk_series_add(f->series, "ended", 1);
+  t->on = FALSE; /* told already */
+  t->state = FK_TASK_EXITED;
+  t->why = FK_WHY_DONE;
+  fk_fleet_changed(f, s->machine);
+}
+
+static void task_begins(gpointer fleet, gpointer data) {
+  Fleet *f = fleet;
+  g_autofree Step *s = data;
+  FkWorkerTask *t = task_of(s);
+  if (!t)
+    return;
+  const FkSpec *spec = fk_fleet_spec(f, t->job);
+  g_autofree char *key = task_key(t);
+  g_hash_table_add(s->machine->images, g_strdup(spec->image));
+  t->state = FK_TASK_RUNNING;
+  t->on = TRUE;
+  fk_event_log_add(f->events, FK_EVENT_BEGAN, t->job, t->task, s->machine->model.id);
+  fk_series_add(f->series, "began", 1);
+  double run_s = g_hash_table_contains(f->finished, key) ? 0 : fk_scale_task_s(f->plan, spec, t->task);
+  schedule(f, s->machine, t->serial, run_s, task_ends);
+  fk_fleet_changed(f, s->machine);
+}
+
+static double cpus_of(gpointer fleet, const char *job) {
+  const FkSpec *s = fk_fleet_spec(fleet, job);
+  return s ? s->cpus : -1;
+}
+
+static void task_accepted(gpointer fleet, FkWorkerModel *w, FkWorkerTask *t) {
+  Machine *m = (Machine *)w;
+  const FkSpec *s = fk_fleet_spec(fleet, t->job);
+  double fetch_s = g_hash_table_contains(m->images, s->image) ? FETCHED_S : s->image_gb;
+  schedule(fleet, m, t->serial, fetch_s, task_begins);
+}
+
+static void task_left(gpointer fleet, FkWorkerModel *w, FkWorkerTask *t) {
+  Fleet *f = fleet;
+  fk_event_log_add(f->events, FK_EVENT_LEFT, t->job, t->task, w->id);
+  fk_series_add(f->series, "left", 1);
+}
+
+/* ------------------------------------------------------------------ machines */
+
+typedef struct {
+  Machine *machine;
+  guint life;
+} Boot;
+
+static void boots(gpointer fleet, gpointer data) {
+  Fleet *f = fleet;
+  g_autofree Boot *b = data;
+  Machine *m = b->machine;
+  if (m->gone || m->life != b->life)
+    return;
+  g_autoptr(GError) error = NULL;
+  if (m->listening < 0)
+    m->listening = fk_many_addresses_listen(f->addresses, m->model.addr, &error);
+  if (m->listening < 0) {
+    g_warning("a worker can't listen: %s", error->message);
+    return;
+  }
+  m->up = TRUE;
+  m->model.lease_base = g_get_monotonic_time();
+  fk_fleet_begin_reports(f, m);
+}
+
+static void boot_in(Fleet *f, Machine *m, double seconds) {
+  Boot *b = g_new0(Boot, 1);
+  *b = (Boot){m, m->life};
+  fk_fleet_after(f, seconds, boots, b);
+}
+
+Machine *fk_fleet_boot(Fleet *f, const char *zone, gboolean spot, double boot_s) {
+  Machine *m = g_new0(Machine, 1);
+  m->number = f->machines->len;
+  m->listening = -1;
+  m->born = g_get_monotonic_time();
+  m->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  m->home = (guint)g_rand_int_range(f->rand, 0, (gint32)fk_scale_region_controllers(f->plan, f->region));
+  g_autofree char *id = g_strdup_printf("i-%u%05u", f->region + 1, m->number),
+                  *addr = fk_scale_worker_addr(f->plan, f->region, m->number);
+  fk_worker_model_init(&m->model, id, addr, FK_SCALE_TYPE, zone, spot, fk_scale_worker_cpus(f->plan));
+  g_ptr_array_add(f->machines, m);
+  g_hash_table_insert(f->by_addr, m->model.addr, m);
+  boot_in(f, m, boot_s);
+  return m;
+}
+
+static void close_address(Machine *m) {
+  fk_many_addresses_close(m->listening);
+  m->listening = -1;
+}
+
+void fk_fleet_lose(Fleet *f, Machine *m) {
+  if (m->gone)
+    return;
+  fk_worker_model_wipe(&m->model, &f->hooks);
+  m->gone = TRUE;
+  m->up = FALSE;
+  m->report = ++f->serial;
+  close_address(m);
+}
+
+static void die(Fleet *f, Machine *m) {
+  if (m->gone)
+    return;
+  fk_series_add(f->series, "died", 1);
+  m->died = g_get_monotonic_time();
+  fk_fleet_lose(f, m);
+}
+
+/* The machine is back within seconds, and knows nothing of before. */
+static void restart(Fleet *f, Machine *m) {
+  if (m->gone || !m->up)
+    return;
+  fk_series_add(f->series, "restarted", 1);
+  fk_worker_model_wipe(&m->model, &f->hooks);
+  m->up = FALSE;
+  m->life++;
+  m->report = ++f->serial;
+  m->model.session = 1;
+  m->model.seq = m->model.token = 0;
+  g_hash_table_remove_all(m->images);
+  close_address(m);
+  boot_in(f, m, g_rand_double_range(f->rand, 1, 5));
+}
+
+guint fk_fleet_alive(const Fleet *f) {
+  guint n = 0;
+  for (guint i = 0; i < f->machines->len; i++)
+    n += !((Machine *)f->machines->pdata[i])->gone;
+  return n;
+}
+
+/* ------------------------------------------------------------------ faults */
+
+static void rack_dies(gpointer fleet, gpointer unused) {
+  Fleet *f = fleet;
+  Machine *first = f->machines->pdata[g_rand_int_range(f->rand, 0, (gint32)f->machines->len)];
+  guint left = RACK;
+  for (guint i = first->number; i < f->machines->len && left; i++) {
+    Machine *m = f->machines->pdata[i];
+    if (m->gone || !g_str_equal(m->model.zone, first->model.zone))
+      continue;
+    die(f, m);
+    left--;
+  }
+}
+
+static void zone_dies(gpointer fleet, gpointer unused) {
+  Fleet *f = fleet;
+  g_autofree char *zone = fk_scale_zone(f->region, 0);
+  for (guint i = 0; i < f->machines->len; i++) {
+    Machine *m = f->machines->pdata[i];
+    if (!m->gone && g_str_equal(m->model.zone, zone))
+      die(f, m);
+  }
+}
+
+static void one_fails(gpointer fleet, gpointer unused) {
+  Fleet *f = fleet;
+  Machine *m = f->machines->pdata[g_rand_int_range(f->rand, 0, (gint32)f->machines->len)];
+  if (g_rand_double(f->rand) < RESTART_SHARE)
+    restart(f, m);
+  else
+    die(f, m);
+}
+
+static void plan_churn(Fleet *f, const FkFault *fault) {
+  guint n = (guint)(CHURN_A_DAY * f->machines->len + 0.5);
+  for (guint i = 0; i < n; i++) {
+    double at_s = fault->at_s + g_rand_double(f->rand) * fault->for_s;
+    fk_agenda_add(f->agenda, f->plan->begins_us + (gint64)(at_s * 1e6), one_fails, NULL);
+  }
+}
+
+static void plan_faults(Fleet *f) {
+  for (guint i = 0; i < f->plan->faults->len; i++) {
+    const FkFault *fault = &g_array_index(f->plan->faults, FkFault, i);
+    gint64 at = f->plan->begins_us + (gint64)(fault->at_s * 1e6);
+    if (fault->kind == FK_FAULT_CHURN)
+      plan_churn(f, fault);
+    else if (f->region == 0 && fault->kind == FK_FAULT_RACK)
+      fk_agenda_add(f->agenda, at, rack_dies, NULL);
+    else if (f->region == 0 && fault->kind == FK_FAULT_ZONE)
+      fk_agenda_add(f->agenda, at, zone_dies, NULL);
+  }
+}
+
+/* ------------------------------------------------------------------ the process */
+
+static void sample(gpointer data) {
+  Fleet *f = data;
+  guint up = 0, on = 0, fetching = 0, exited = 0;
+  for (guint i = 0; i < f->machines->len; i++) {
+    const Machine *m = f->machines->pdata[i];
+    up += m->up;
+    for (guint k = 0; k < m->model.tasks->len; k++) {
+      const FkWorkerTask *t = m->model.tasks->pdata[k];
+      on += t->on;
+      fetching += t->state == FK_TASK_FETCHING;
+      exited += t->state == FK_TASK_EXITED;
+    }
+  }
+  fk_series_set(f->series, "up", up);
+  fk_series_set(f->series, "running", on);
+  fk_series_set(f->series, "fetching", fetching);
+  fk_series_set(f->series, "exited", exited);
+}
+
+static void boot_first(Fleet *f) {
+  guint zones = fk_scale_region_zones(f->plan, f->region);
+  for (guint i = 0; i < fk_scale_region_workers(f->plan, f->region); i++) {
+    g_autofree char *zone = fk_scale_zone(f->region, i % zones);
+    Machine *m = fk_fleet_boot(f, zone, FALSE, g_rand_double_range(f->rand, 0, UP_WITHIN_S));
+    m->born -= (gint64)(LISTED_BEFORE_S * 1e6);
+  }
+}
+
+int fk_scale_fleet(const FkScalePlan *p, guint region) {
+  g_autoptr(GError) error = NULL;
+  g_autofree char *name = g_strdup_printf("fleet-%u", region);
+  Fleet f = {.plan = p, .region = region};
+  f.rand = g_rand_new_with_seed((guint32)(p->seed * 1000 + region));
+  f.agenda = fk_agenda_new(&f);
+  f.http = fk_http_new_many(CALLS_MOST, ANSWER_MOST);
+  f.machines = g_ptr_array_new();
+  f.by_addr = g_hash_table_new(g_str_hash, g_str_equal);
+  f.specs = g_hash_table_new(g_str_hash, g_str_equal);
+  f.finished = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  f.hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  f.hooks = (FkWorkerHooks){cpus_of, task_accepted, task_left, &f, &f.serial};
+  f.series = fk_series_new(p->dir, name, p->begins_us, 0, &error);
+  f.events = f.series ? fk_event_log_new(p->dir, name, &error) : NULL;
+  f.addresses = f.events ? fk_many_addresses_new(fk_fleet_on_command, &f, &error) : NULL;
+  if (!f.addresses || !fk_fleet_open_cloud(&f, &error))
+    return fk_scale_failed(name, error);
+  boot_first(&f);
+  plan_faults(&f);
+  fk_agenda_start_clock(f.agenda);
+  fk_series_start(f.series, sample, &f);
+  fk_scale_run_until_over(p);
+  fk_event_log_free(f.events);
+  fk_series_free(f.series);
+  return 0;
+}
--- /dev/null
+++ b/src/lab/scale/fleet_internal.h
@@ -0,0 +1,67 @@
+/* What the files of the fleet's process share. */
+#pragma once
+#include "io/http.h"
+#include "lab/agenda.h"
+#include "lab/scale/events.h"
+#include "lab/scale/listen.h"
+#include "lab/scale/plan.h"
+#include "lab/scale/series.h"
+#include "lab/store_model.h"
+#include "lab/worker_model.h"
+
+typedef struct {
+  FkWorkerModel model; /* its first member: hooks find the machine by it */
+  guint number;
+  gboolean up, gone;
+  gint64 born, died; /* `died`: by itself; 0: it hasn't */
+  gint64 returned;   /* 0: it wasn't */
+  int listening;     /* of its address */
+  guint life;        /* timers of an earlier one are void */
+  guint home;        /* the controller that it reports to */
+  guint64 report;    /* the plan for the next report, or the report under way; others are void */
+  gboolean under_way;
+  gint64 sent; /* the latest report */
+  gboolean changed;
+  gint64 token_counted; /* when a higher token was last a reason to report */
+  GHashTable *images;
+} Machine;
+
+typedef struct {
+  const FkScalePlan *plan;
+  guint region;
+  GRand *rand;
+  FkAgenda *agenda;
+  FkHttp *http;
+  FkSeries *series;
+  FkEventLog *events;
+  FkManyAddresses *addresses;
+  SoupServer *cloud;
+  FkStoreBudget cloud_budget;
+  GPtrArray *machines;  /* Machine, by number */
+  GHashTable *by_addr;  /* address -> Machine */
+  GHashTable *specs;    /* job id -> FkSpec */
+  GHashTable *finished; /* "job/task" */
+  GHashTable *hires;    /* name -> GPtrArray of names */
+  FkWorkerHooks hooks;
+  guint64 serial;
+  GPtrArray *types; /* FkType */
+} Fleet;
+
+/* fleet.c */
+void fk_fleet_after(Fleet *f, double seconds, FkAgendaFn fn, gpointer data);
+Machine *fk_fleet_boot(Fleet *f, const char *zone, gboolean spot, double boot_s);
+/* It is no more, and nothing that ran there. */
+void fk_fleet_lose(Fleet *f, Machine *m);
+guint fk_fleet_alive(const Fleet *f);
+const FkSpec *fk_fleet_spec(Fleet *f, const char *job);
+
+/* reports.c */
+/* The first report of a life goes out within a moment. */
+void fk_fleet_begin_reports(Fleet *f, Machine *m);
+/* Something that a report would show is new. */
+void fk_fleet_changed(Fleet *f, Machine *m);
+void fk_fleet_on_command(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
+                         gpointer fleet);
+
+/* cloud_service.c */
+gboolean fk_fleet_open_cloud(Fleet *f, GError **error);
--- /dev/null
+++ b/src/lab/scale/listen.c
@@ -0,0 +1,142 @@
+#include "lab/scale/listen.h"
+
+#include <errno.h>
+#include <glib-unix.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 128
+#define ACCEPTS_A_TURN 64
+#define AFTER_S 1.0 /* processes stay for so long when the run is over */
+
+static GSocketAddress *address_of(const char *addr, GError **error) {
+  g_auto(GStrv) parts = g_strsplit(addr, ":", 2);
+  guint64 port;
+  if (!parts[0] || !parts[1] || !g_ascii_string_to_unsigned(parts[1], 10, 1, 65535, &port, error))
+    return NULL;
+  return g_inet_socket_address_new_from_string(parts[0], (guint)port);
+}
+
+SoupServer *fk_scale_serve(const char *addr, FkScaleHandler handler, gpointer data, GError **error) {
+  g_autoptr(GSocketAddress) address = address_of(addr, error);
+  g_autoptr(SoupServer) server = soup_server_new("server-header", "stand-in", NULL);
+  soup_server_add_handler(server, NULL, handler, data, NULL);
+  if (!address || !soup_server_listen(server, address, 0, error)) {
+    g_prefix_error(error, "%s: ", addr);
+    return NULL;
+  }
+  return g_steal_pointer(&server);
+}
+
+/* ------------------------------------------------------------------ thousands of addresses */
+
+struct FkManyAddresses {
+  SoupServer *server;
+  int epoll;
+};
+
+static void hand_over(FkManyAddresses *a, int fd) {
+  g_autoptr(GError) error = NULL;
+  g_autoptr(GSocket) socket = g_socket_new_from_fd(fd, &error);
+  if (!socket) {
+    close(fd);
+    return;
+  }
+  g_autoptr(GSocketConnection) connection = g_socket_connection_factory_create_connection(socket);
+  g_autoptr(GSocketAddress) local = g_socket_get_local_address(socket, NULL),
+                            remote = g_socket_get_remote_address(socket, NULL);
+  if (!soup_server_accept_iostream(a->server, G_IO_STREAM(connection), local, remote, &error))
+    g_warning("a connection can't be served: %s", error->message);
+}
+
+static gboolean on_ready(int epoll, GIOCondition condition, gpointer data) {
+  struct epoll_event ready[ACCEPTS_A_TURN];
+  int n = epoll_wait(epoll, ready, G_N_ELEMENTS(ready), 0);
+  for (int i = 0; i < n; i++) {
+    int fd = accept4(ready[i].data.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0)
+      hand_over(data, fd);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+FkManyAddresses *fk_many_addresses_new(FkScaleHandler handler, gpointer data, GError **error) {
+  FkManyAddresses *a = g_new0(FkManyAddresses, 1);
+  a->epoll = epoll_create1(EPOLL_CLOEXEC);
+  a->server = soup_server_new("server-header", "stand-in", NULL);
+  soup_server_add_handler(a->server, NULL, handler, data, NULL);
+  g_unix_fd_add(a->epoll, G_IO_IN, on_ready, a);
+  return a;
+}
+
+int fk_many_addresses_listen(FkManyAddresses *a, const char *addr, GError **error) {
+  g_autoptr(GSocketAddress) address = address_of(addr, error);
+  g_autoptr(GSocket) socket =
+      address ? g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error) : NULL;
+  if (!socket)
+    return -1;
+  g_socket_set_listen_backlog(socket, BACKLOG);
+  if (!g_socket_bind(socket, address, TRUE, error) || !g_socket_listen(socket, error)) {
+    g_prefix_error(error, "%s: ", addr);
+    return -1;
+  }
+  int fd = dup(g_socket_get_fd(socket));
+  struct epoll_event wanted = {.events = EPOLLIN, .data.fd = fd};
+  if (fd < 0 || epoll_ctl(a->epoll, EPOLL_CTL_ADD, fd, &wanted) < 0) {
+    g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(errno), "%s: %s", addr, g_strerror(errno));
+    return -1;
+  }
+  return fd;
+}
+
+void fk_many_addresses_close(int number) {
+  if (number >= 0)
+    close(number);
+}
+
+/* ------------------------------------------------------------------ messages */
+
+char *fk_scale_local_addr(SoupServerMessage *m) {
+  GInetSocketAddress *local = G_INET_SOCKET_ADDRESS(soup_server_message_get_local_address(m));
+  g_autofree char *host = g_inet_address_to_string(g_inet_socket_address_get_address(local));
+  return g_strdup_printf("%s:%u", host, g_inet_socket_address_get_port(local));
+}
+
+const char *fk_scale_body(SoupServerMessage *m, gsize *len) {
+  const SoupMessageBody *body = soup_server_message_get_request_body(m);
+  *len = (gsize)body->length;
+  return body->data ? body->data : "";
+}
+
+const char *fk_scale_query(GHashTable *query, const char *name) {
+  const char *value = query ? g_hash_table_lookup(query, name) : NULL;
+  return value ? value : "";
+}
+
+void fk_scale_respond(SoupServerMessage *m, guint status, char *body) {
+  soup_server_message_set_status(m, status, NULL);
+  soup_server_message_set_response(m, "application/json", SOUP_MEMORY_TAKE, body, strlen(body));
+}
+
+/* ------------------------------------------------------------------ a process's life */
+
+static gboolean is_over(gpointer loop) {
+  g_main_loop_quit(loop);
+  return G_SOURCE_REMOVE;
+}
+
+void fk_scale_run_until_over(const FkScalePlan *p) {
+  g_autoptr(GMainLoop) loop = g_main_loop_new(NULL, FALSE);
+  gint64 over = p->begins_us + (gint64)((p->seconds + AFTER_S) * 1e6);
+  g_timeout_add((guint)(MAX(0, over - g_get_monotonic_time()) / 1000), is_over, loop);
+  g_main_loop_run(loop);
+}
+
+int fk_scale_failed(const char *who, const GError *error) {
+  fprintf(stderr, "flaxknot-lab scale: %s couldn't begin: %s\n", who,
+          error ? error->message : "no reason given");
+  return 1;
+}
--- /dev/null
+++ b/src/lab/scale/reports.c
@@ -0,0 +1,188 @@
+/* The hollow workers' reports, and the commands that come straight to them (PROTOCOL, "Workers -> controller
+ * nodes" and "Controller nodes -> workers"). */
+#include <string.h>
+
+#include "lab/scale/fleet_internal.h"
+#include "wire/worker.h"
+
+#define LEAST_S 0.5  /* between two reports */
+#define ANSWER_S 4.0 /* no answer by then: the next controller, after a second */
+#define NEXT_S 1.0
+#define MOVE_MOST_S 0.5 /* sent elsewhere: at once, or after up to so long */
+
+typedef struct {
+  Fleet *fleet;
+  Machine *machine;
+  guint64 report, session;
+  gint64 sent;
+} Report;
+
+static void send_report(gpointer fleet, gpointer data);
+
+static void plan_report(Fleet *f, Machine *m, double seconds) {
+  Report *r = g_new0(Report, 1);
+  m->report = ++f->serial;
+  *r = (Report){f, m, m->report, 0, 0};
+  fk_fleet_after(f, seconds, send_report, r);
+}
+
+void fk_fleet_begin_reports(Fleet *f, Machine *m) {
+  m->under_way = FALSE;
+  plan_report(f, m, 0);
+}
+
+void fk_fleet_changed(Fleet *f, Machine *m) {
+  if (!m->up || m->changed)
+    return;
+  m->changed = TRUE;
+  double since_s = (double)(g_get_monotonic_time() - m->sent) / 1e6;
+  if (!m->under_way)
+    plan_report(f, m, MAX(0, LEAST_S - since_s));
+}
+
+/* After an answer: soon where something has changed meanwhile, else in the usual time, plus or minus a
+ * quarter. */
+static void plan_next(Fleet *f, Machine *m) {
+  double usual_s = f->plan->report_s * g_rand_double_range(f->rand, 0.75, 1.25),
+         since_s = (double)(g_get_monotonic_time() - m->sent) / 1e6;
+  plan_report(f, m, MAX(0, (m->changed ? LEAST_S : usual_s) - since_s));
+}
+
+static guint controllers(const Fleet *f) { return fk_scale_region_controllers(f->plan, f->region); }
+
+static void try_next(Fleet *f, Machine *m) {
+  m->home = (m->home + 1) % controllers(f);
+  plan_report(f, m, NEXT_S);
+}
+
+/* The controller of that name, or the number of controllers. */
+static guint number_of(const Fleet *f, const char *node) {
+  guint n = controllers(f);
+  for (guint i = 0; i < n; i++) {
+    g_autofree char *name = fk_scale_node(f->region, i);
+    if (g_str_equal(name, node))
+      return i;
+  }
+  return n;
+}
+
+static void move(Fleet *f, Machine *m, const char *foreman) {
+  guint to = foreman ? number_of(f, foreman) : controllers(f);
+  if (to == controllers(f) || to == m->home) {
+    try_next(f, m);
+    return;
+  }
+  m->home = to;
+  plan_report(f, m, g_rand_double_range(f->rand, 0, MOVE_MOST_S));
+}
+
+/* A higher token is a change at most once in half of the lease. */
+static void note_token(Fleet *f, Machine *m, guint64 before) {
+  gint64 now = g_get_monotonic_time();
+  if (m->model.token <= before || (double)(now - m->token_counted) / 1e6 < f->plan->lease_s / 2)
+    return;
+  m->token_counted = now;
+  m->changed = TRUE;
+}
+
+static void take_answer(Fleet *f, Machine *m, const Report *r, const FkWorkerOrders *orders) {
+  guint64 token = m->model.token;
+  guint tasks = m->model.tasks->len;
+  fk_worker_model_expire(&m->model, &f->hooks, g_get_monotonic_time(), f->plan->lease_s);
+  if (!fk_worker_model_answered(&m->model, &f->hooks, r->session, r->sent, orders->token, orders->orders))
+    fk_series_add(f->series, "answers_dropped", 1);
+  note_token(f, m, token);
+  m->changed |= m->model.tasks->len != tasks;
+  plan_next(f, m);
+}
+
+static void report_answered(gpointer data, guint status, const char *body, gsize len) {
+  g_autofree Report *r = data;
+  Fleet *f = r->fleet;
+  Machine *m = r->machine;
+  if (m->report != r->report)
+    return;
+  m->under_way = FALSE;
+  fk_series_add(f->series, "answer_bytes", (double)len);
+  g_autoptr(FkWorkerOrders) orders = fk_worker_parse_reply(status, body, len);
+  if (status == 200 && orders) {
+    take_answer(f, m, r, orders);
+  } else if (status == 421) {
+    fk_series_add(f->series, "reports_redirected", 1);
+    move(f, m, orders ? orders->foreman : NULL);
+  } else {
+    fk_series_add(f->series, "reports_unanswered", 1);
+    try_next(f, m);
+  }
+}
+
+static void send_report(gpointer fleet, gpointer data) {
+  Fleet *f = fleet;
+  Report *r = data;
+  Machine *m = r->machine;
+  if (m->report != r->report || !m->up) {
+    g_free(r);
+    return;
+  }
+  gint64 now = g_get_monotonic_time();
+  if (fk_worker_model_expire(&m->model, &f->hooks, now, f->plan->lease_s))
+    fk_series_add(f->series, "leases_ended", 1);
+  m->sent = r->sent = now;
+  m->changed = FALSE;
+  m->under_way = TRUE;
+  r->session = m->model.session;
+  g_autoptr(FkReport) report = fk_worker_model_report(&m->model);
+  g_autofree char *body = fk_worker_print_report(report),
+                  *addr = fk_scale_user_addr(f->plan, f->region, m->home);
+  fk_series_add(f->series, "reports", 1);
+  fk_series_add(f->series, "report_bytes", (double)strlen(body));
+  fk_http_call(f->http, "POST", addr, "/hello", body, ANSWER_S, report_answered, r);
+}
+
+/* ------------------------------------------------------------------ direct commands */
+
+static void answer_report(Fleet *f, SoupServerMessage *msg, Machine *m, guint status) {
+  g_autoptr(FkReport) report = fk_worker_model_report(&m->model);
+  char *body = fk_worker_print_report(report);
+  fk_series_add(f->series, "command_answer_bytes", (double)strlen(body));
+  fk_scale_respond(msg, status, body);
+}
+
+static void take_command(Fleet *f, SoupServerMessage *msg, Machine *m, const FkWorkerOrders *orders) {
+  guint64 token = m->model.token;
+  guint tasks = m->model.tasks->len;
+  fk_worker_model_expire(&m->model, &f->hooks, g_get_monotonic_time(), f->plan->lease_s);
+  gboolean done =
+      fk_worker_model_commanded(&m->model, &f->hooks, orders->session, orders->token, orders->orders);
+  answer_report(f, msg, m, done ? 200 : 409);
+  gboolean had_changed = m->changed;
+  note_token(f, m, token);
+  if (m->model.tasks->len != tasks || m->changed != had_changed) {
+    m->changed = had_changed;
+    fk_fleet_changed(f, m);
+  }
+}
+
+void fk_fleet_on_command(SoupServer *server, SoupServerMessage *msg, const char *path, GHashTable *query,
+                         gpointer fleet) {
+  Fleet *f = fleet;
+  g_autofree char *addr = fk_scale_local_addr(msg);
+  Machine *m = g_hash_table_lookup(f->by_addr, addr);
+  gsize len;
+  const char *body = fk_scale_body(msg, &len);
+  fk_series_add(f->series, "commands", 1);
+  fk_series_add(f->series, "command_bytes", (double)len);
+  if (!m || !m->up) {
+    fk_scale_respond(msg, 503, g_strdup("{}"));
+    return;
+  }
+  if (g_str_equal(path, "/status")) {
+    answer_report(f, msg, m, 200);
+    return;
+  }
+  g_autoptr(FkWorkerOrders) orders = fk_worker_parse_commands(body, len);
+  if (orders)
+    take_command(f, msg, m, orders);
+  else
+    fk_scale_respond(msg, 400, g_strdup("{}"));
+}
--- a/src/lab/sim.h
+++ b/src/lab/sim.h
@@ -1,5 +1,6 @@
 /* What the files of the simulated world share. */
 #pragma once
+#include "lab/agenda.h"
 #include "lab/store_model.h"
 #include "lab/version.h"
 #include "lab/worker_model.h"
@@ -73,20 +74,13 @@
   int kind;
 } Req;
 
-typedef struct {
-  gint64 at;
-  guint64 order;
-  void (*fn)(Sim *, gpointer);
-  gpointer data;
-} Event;
-
 struct Sim {
   const FkSettings *s;
   SimPlan plan;
   GRand *rand;
   gint64 now;
   guint64 order, next_req, next_machine, next_serial;
-  GSequence *events;
+  FkAgenda *agenda;
   FkStoreModel *store;
   FkStoreBudget budget;
   GHashTable *hires; /* name -> GPtrArray */
--- a/src/lab/world.c
+++ b/src/lab/world.c
@@ -5,15 +5,23 @@
 
 #include "lab/check_view.h"
 
-static int by_time(gconstpointer a, gconstpointer b, gpointer d) {
-  const Event *x = a, *y = b;
-  return x->at != y->at ? (x->at < y->at ? -1 : 1) : x->order < y->order ? -1 : 1;
+/* An agenda's functions know nothing of the world. */
+typedef struct {
+  void (*fn)(Sim *, gpointer);
+  gpointer data;
+} Planned;
+
+static void happens(gpointer sim, gpointer data) {
+  Planned planned = *(Planned *)data;
+  g_free(data);
+  planned.fn(sim, planned.data);
 }
 
 void after(Sim *m, double s, void (*fn)(Sim *, gpointer), gpointer data) {
-  Event *e = g_new0(Event, 1);
-  *e = (Event){m->now + (gint64)(s * 1e6), ++m->order, fn, data};
-  g_sequence_insert_sorted(m->events, e, by_time, NULL);
+  Planned *planned = g_new0(Planned, 1);
+  *planned = (Planned){fn, data};
+  m->order++;
+  fk_agenda_add(m->agenda, m->now + (gint64)(s * 1e6), happens, planned);
 }
 
 gboolean chance(Sim *m, double p) { return g_rand_double(m->rand) < p; }
@@ -418,7 +426,7 @@
   }
   g_ptr_array_unref(m->calls);
   g_ptr_array_unref(m->watches);
-  g_sequence_free(m->events);
+  fk_agenda_free(m->agenda);
   g_hash_table_unref(m->requests);
   g_hash_table_unref(m->truth);
   fk_store_model_free(m->store);
@@ -438,7 +446,7 @@
   m->plan = *plan;
   m->n = plan->controllers ? (int)plan->controllers : 3;
   m->rand = g_rand_new_with_seed((guint32)plan->seed);
-  m->events = g_sequence_new(g_free);
+  m->agenda = fk_agenda_new(m);
   m->store = fk_store_model_new(0);
   m->hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   m->kept = g_ptr_array_new_with_free_func((GDestroyNotify)fk_report_free);
@@ -480,11 +488,8 @@
       after(m, 20, trouble, NULL);
   }
   while (m->now < (gint64)(plan->seconds * 1e6) && !m->r.broken && !m->over) {
-    GSequenceIter *it = g_sequence_get_begin_iter(m->events);
-    Event e = *(Event *)g_sequence_get(it);
-    g_sequence_remove(it);
-    m->now = e.at;
-    e.fn(m, e.data);
+    m->now = fk_agenda_next(m->agenda);
+    fk_agenda_run_next(m->agenda);
   }
   for (guint i = 0; i < m->jobs->len; i++) {
     UJob *j = m->jobs->pdata[i];
--- a/src/wire/cloud.c
+++ b/src/wire/cloud.c
@@ -90,3 +90,78 @@
     cJSON_AddItemToArray(list, cJSON_CreateString(out->names->pdata[i]));
   return fk_json_print(o);
 }
+
+/* ------------------------------------------------------------------ the cloud's side */
+
+void fk_rental_free(FkRental *r) {
+  g_free(r->hire);
+  g_free(r->type);
+  g_free(r->zone);
+  g_free(r);
+}
+
+FkRental *fk_cloud_parse_rental(const char *body, gsize len) {
+  g_autoptr(cJSON) o = fk_json_parse(body, len);
+  g_autoptr(FkRental) r = g_new0(FkRental, 1);
+  guint64 count = 0;
+  r->hire = g_strdup(fk_json_str(o, "hire"));
+  r->type = g_strdup(fk_json_str(o, "build"));
+  r->zone = g_strdup(fk_json_str(o, "yard"));
+  fk_json_bool(o, "loaners", &r->spot);
+  if (!r->hire || !r->type || !r->zone || !fk_json_u64(o, "count", &count) || count < 1 || count > 50)
+    return NULL;
+  r->count = (guint)count;
+  return g_steal_pointer(&r);
+}
+
+char *fk_cloud_print_types(const GPtrArray *types) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON *list = cJSON_AddArrayToObject(o, "builds");
+  for (guint i = 0; i < types->len; i++) {
+    const FkType *t = types->pdata[i];
+    cJSON *j = cJSON_CreateObject(), *zones = cJSON_CreateArray();
+    cJSON_AddStringToObject(j, "name", t->name);
+    cJSON_AddNumberToObject(j, "cores", t->cpus);
+    cJSON_AddNumberToObject(j, "cards", t->gpus);
+    cJSON_AddNumberToObject(j, "mem_gb", t->mem_gb);
+    cJSON_AddNumberToObject(j, "pull_gb_per_s", t->fetch_gb_per_s);
+    cJSON_AddNumberToObject(j, "price", t->price);
+    cJSON_AddNumberToObject(j, "low_price", t->spot_price);
+    cJSON_AddNumberToObject(j, "ready_s", t->boot_s);
+    for (guint z = 0; t->zones && t->zones[z]; z++)
+      cJSON_AddItemToArray(zones, cJSON_CreateString(t->zones[z]));
+    cJSON_AddItemToObject(j, "yards", zones);
+    cJSON_AddItemToArray(list, j);
+  }
+  return fk_json_print(o);
+}
+
+char *fk_cloud_print_names(const GPtrArray *names) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON *list = cJSON_AddArrayToObject(o, "knotters");
+  for (guint i = 0; i < names->len; i++)
+    cJSON_AddItemToArray(list, cJSON_CreateString(names->pdata[i]));
+  return fk_json_print(o);
+}
+
+char *fk_cloud_print_machines(const GPtrArray *listed, gboolean more) {
+  static const char *const phases[] = {"starting", "running", "failed"};
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON *list = cJSON_AddArrayToObject(o, "knotters");
+  for (guint i = 0; i < listed->len; i++) {
+    const FkListed *l = listed->pdata[i];
+    cJSON *j = cJSON_CreateObject();
+    cJSON_AddStringToObject(j, "ref", l->id);
+    cJSON_AddStringToObject(j, "address", l->addr);
+    cJSON_AddStringToObject(j, "build", l->type);
+    cJSON_AddStringToObject(j, "yard", l->zone);
+    cJSON_AddBoolToObject(j, "loaners", l->spot);
+    cJSON_AddStringToObject(j, "phase", phases[l->state]);
+    cJSON_AddNumberToObject(j, "age_s", l->age_s);
+    cJSON_AddItemToArray(list, j);
+  }
+  cJSON_AddBoolToObject(o, "truncated", more);
+  return fk_json_print(o);
+}
+
+char *fk_cloud_print_no_capacity(void) { return g_strdup("{\"error\":\"no capacity\"}"); }
--- a/src/wire/store.c
+++ b/src/wire/store.c
@@ -480,3 +480,121 @@
   }
   return events;
 }
+
+/* ------------------------------------------------------------------ the state service's side */
+
+static void condition_clear(gpointer p) { g_free(((FkStoreCondition *)p)->path); }
+
+static void change_clear(gpointer p) {
+  FkStoreChangeAsked *c = p;
+  g_free(c->path);
+  g_free(c->value);
+}
+
+void fk_store_transaction_free(FkStoreTransaction *t) {
+  g_array_unref(t->conditions);
+  g_array_unref(t->changes);
+  g_free(t);
+}
+
+static gboolean parse_condition(const cJSON *j, GArray *conditions) {
+  FkStoreCondition c = {NULL, 0};
+  const char *path = fk_json_str(j, "path");
+  if (!path || !fk_json_u64(j, "stamp", &c.stamp))
+    return FALSE;
+  c.path = g_strdup(path);
+  g_array_append_val(conditions, c);
+  return TRUE;
+}
+
+static gboolean parse_change(const cJSON *j, GArray *changes) {
+  FkStoreChangeAsked c = {NULL, NULL, 0};
+  const char *put = fk_json_str(j, "put"), *gone = fk_json_str(j, "delete");
+  const cJSON *value = fk_json_get(j, "value");
+  if ((!put && !gone) || (put && !value))
+    return FALSE;
+  fk_json_u64(j, "tether", &c.hold);
+  c.path = g_strdup(put ? put : gone);
+  c.value = put ? fk_json_print(value) : NULL;
+  g_array_append_val(changes, c);
+  return TRUE;
+}
+
+FkStoreTransaction *fk_store_parse_transaction(const char *body, gsize len) {
+  g_autoptr(cJSON) o = fk_json_parse(body, len);
+  g_autoptr(FkStoreTransaction) t = g_new0(FkStoreTransaction, 1);
+  t->conditions = g_array_new(FALSE, FALSE, sizeof(FkStoreCondition));
+  g_array_set_clear_func(t->conditions, condition_clear);
+  t->changes = g_array_new(FALSE, FALSE, sizeof(FkStoreChangeAsked));
+  g_array_set_clear_func(t->changes, change_clear);
+  if (!cJSON_IsObject(o))
+    return NULL;
+  const cJSON *j;
+  cJSON_ArrayForEach(j, fk_json_get(o, "guards")) if (!parse_condition(j, t->conditions)) return NULL;
+  cJSON_ArrayForEach(j, fk_json_get(o, "writes")) if (!parse_change(j, t->changes)) return NULL;
+  return g_steal_pointer(&t);
+}
+
+cJSON *fk_store_item_to_json(const char *path, const char *value, guint64 stamp, guint64 hold) {
+  cJSON *j = cJSON_CreateObject();
+  cJSON_AddStringToObject(j, "path", path);
+  cJSON_AddRawToObject(j, "value", value);
+  fk_json_add_u64(j, "stamp", stamp);
+  if (hold)
+    fk_json_add_u64(j, "tether", hold);
+  return j;
+}
+
+cJSON *fk_store_event_to_json(const char *path, const char *value, guint64 stamp) {
+  cJSON *j = cJSON_CreateObject();
+  cJSON_AddStringToObject(j, value ? "put" : "delete", path);
+  if (value)
+    cJSON_AddRawToObject(j, "value", value);
+  fk_json_add_u64(j, "stamp", stamp);
+  return j;
+}
+
+char *fk_store_print_items(cJSON *items, gboolean more, guint64 epoch) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON_AddItemToObject(o, "pairs", items);
+  cJSON_AddBoolToObject(o, "truncated", more);
+  fk_json_add_u64(o, "epoch", epoch);
+  return fk_json_print(o);
+}
+
+char *fk_store_print_events(cJSON *events, guint64 epoch) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  fk_json_add_u64(o, "epoch", epoch);
+  cJSON_AddItemToObject(o, "events", events);
+  return fk_json_print(o);
+}
+
+char *fk_store_print_epoch(guint64 epoch) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  fk_json_add_u64(o, "epoch", epoch);
+  return fk_json_print(o);
+}
+
+char *fk_store_print_conflict(const GPtrArray *failed, guint64 epoch) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON *list = cJSON_AddArrayToObject(o, "failed");
+  for (guint i = 0; i < failed->len; i++)
+    cJSON_AddItemToArray(list, cJSON_CreateString(failed->pdata[i]));
+  fk_json_add_u64(o, "epoch", epoch);
+  return fk_json_print(o);
+}
+
+char *fk_store_print_hold(guint64 hold) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  fk_json_add_u64(o, "tether", hold);
+  return fk_json_print(o);
+}
+
+gboolean fk_store_parse_ttl_s(const char *body, gsize len, double *out) {
+  g_autoptr(cJSON) o = fk_json_parse(body, len);
+  double ms;
+  if (!fk_json_num(o, "ttl_ms", &ms) || ms < 100 || ms > 600000)
+    return FALSE;
+  *out = ms / 1000;
+  return TRUE;
+}
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -13,3 +13,30 @@
 GPtrArray *fk_store_parse_watch(const char *body, gsize len, FkRev *epoch);
 FkRev fk_store_parse_epoch(const cJSON *o);
 GPtrArray *fk_store_parse_failed(const cJSON *o);
+
+/* The state service's side. Values pass through as JSON text. */
+typedef struct {
+  char *path;
+  guint64 stamp;
+} FkStoreCondition;
+typedef struct {
+  char *path, *value; /* `value` NULL: delete */
+  guint64 hold;
+} FkStoreChangeAsked;
+typedef struct {
+  GArray *conditions; /* FkStoreCondition */
+  GArray *changes;    /* FkStoreChangeAsked */
+} FkStoreTransaction;
+void fk_store_transaction_free(FkStoreTransaction *t);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkStoreTransaction, fk_store_transaction_free)
+FkStoreTransaction *fk_store_parse_transaction(const char *body, gsize len); /* NULL: malformed */
+/* One item of a list, or what a read answers. */
+cJSON *fk_store_item_to_json(const char *path, const char *value, guint64 stamp, guint64 hold);
+/* One event of a watch; `value` NULL: deleted. */
+cJSON *fk_store_event_to_json(const char *path, const char *value, guint64 stamp);
+char *fk_store_print_items(cJSON *items /* taken */, gboolean more, guint64 epoch);
+char *fk_store_print_events(cJSON *events /* taken */, guint64 epoch);
+char *fk_store_print_epoch(guint64 epoch);
+char *fk_store_print_conflict(const GPtrArray *failed /* char* */, guint64 epoch);
+char *fk_store_print_hold(guint64 hold);
+gboolean fk_store_parse_ttl_s(const char *body, gsize len, double *out);
--- a/src/wire/user.c
+++ b/src/wire/user.c
@@ -140,3 +140,43 @@
   cJSON_AddStringToObject(o, "error", why);
   return fk_json_print(o);
 }
+
+/* ------------------------------------------------------------------ the user's side */
+
+char *fk_user_print_submission(const FkSpec *s) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON_AddStringToObject(o, "ref", s->id);
+  cJSON_AddStringToObject(o, "lane", s->class_name);
+  cJSON_AddStringToObject(o, "crew", s->team);
+  cJSON_AddStringToObject(o, "shape", shapes[s->shape]);
+  cJSON_AddStringToObject(o, "rank", ranks[s->rank]);
+  cJSON_AddNumberToObject(o, "strands", s->tasks);
+  cJSON_AddNumberToObject(o, "cores", s->cpus);
+  cJSON_AddNumberToObject(o, "cards", s->gpus);
+  cJSON_AddNumberToObject(o, "mem_gb", s->mem_gb);
+  cJSON_AddStringToObject(o, "bundle", s->image);
+  cJSON_AddNumberToObject(o, "size_gb", s->image_gb);
+  if (s->zone)
+    cJSON_AddStringToObject(o, "yard", s->zone);
+  cJSON_AddBoolToObject(o, "together", s->one_zone);
+  cJSON_AddBoolToObject(o, "spread", s->spread);
+  cJSON_AddBoolToObject(o, "loaners", s->spot);
+  cJSON_AddNumberToObject(o, "guess_s", s->estimate_s);
+  cJSON_AddNumberToObject(o, "knot_s", s->checkpoint_s);
+  cJSON_AddNumberToObject(o, "stow_s", s->save_s);
+  if (s->deadline_s >= 0)
+    cJSON_AddNumberToObject(o, "due_s", s->deadline_s);
+  return fk_json_print(o);
+}
+
+gboolean fk_user_parse_state(const char *body, gsize len, FkJobState *out) {
+  g_autoptr(cJSON) o = fk_json_parse(body, len);
+  int phase = word(phases, G_N_ELEMENTS(phases), fk_json_str(o, "phase"));
+  guint64 done = 0, running = 0;
+  if (phase < 0)
+    return FALSE;
+  fk_json_u64(o, "done", &done);
+  fk_json_u64(o, "running", &running);
+  *out = (FkJobState){(FkPhase)phase, (guint32)done, (guint32)running};
+  return TRUE;
+}
--- a/src/wire/user.h
+++ b/src/wire/user.h
@@ -8,3 +8,12 @@
 gboolean fk_user_valid_id(const char *id);
 char *fk_user_print_answer(const FkOut *o);
 char *fk_user_print_error(const char *why);
+
+/* The user's side. */
+typedef struct {
+  FkPhase phase;
+  guint32 done, running;
+} FkJobState;
+char *fk_user_print_submission(const FkSpec *s);
+/* FALSE: not a job's state. */
+gboolean fk_user_parse_state(const char *body, gsize len, FkJobState *out);
--- a/src/wire/worker.c
+++ b/src/wire/worker.c
@@ -100,3 +100,111 @@
   add_orders(o, out->orders);
   return fk_json_print(o);
 }
+
+/* ------------------------------------------------------------------ the worker's side */
+
+static const char *state_word(FkTaskState state) {
+  for (guint i = 0; i < G_N_ELEMENTS(states); i++)
+    if (states[i].state == state)
+      return states[i].word;
+  return "unknown";
+}
+
+static const char *why_word(FkWhy why) {
+  for (guint i = 0; i < G_N_ELEMENTS(whys); i++)
+    if (whys[i].why == why)
+      return whys[i].word;
+  return NULL;
+}
+
+static cJSON *task_to_json(const FkTaskReport *t) {
+  cJSON *j = cJSON_CreateObject();
+  g_autofree char *name = g_strdup_printf("%s/%u", t->job, t->task);
+  cJSON_AddStringToObject(j, "strand", name);
+  fk_json_add_u64(j, "try", t->attempt.n);
+  cJSON_AddStringToObject(j, "phase", state_word(t->state));
+  const char *cause = t->state == FK_TASK_EXITED ? why_word(t->why) : NULL;
+  if (cause)
+    cJSON_AddStringToObject(j, "cause", cause);
+  return j;
+}
+
+char *fk_worker_print_report(const FkReport *r) {
+  g_autoptr(cJSON) o = cJSON_CreateObject();
+  cJSON_AddStringToObject(o, "knotter", r->machine);
+  cJSON_AddStringToObject(o, "address", r->addr);
+  cJSON_AddStringToObject(o, "build", r->type);
+  cJSON_AddStringToObject(o, "yard", r->zone);
+  cJSON_AddBoolToObject(o, "loaners", r->spot);
+  fk_json_add_u64(o, "shift", r->session);
+  fk_json_add_u64(o, "tally", r->seq);
+  fk_json_add_u64(o, "baton", r->token.n);
+  cJSON *tasks = cJSON_AddArrayToObject(o, "strands");
+  for (guint i = 0; i < r->tasks->len; i++)
+    cJSON_AddItemToArray(tasks, task_to_json(r->tasks->pdata[i]));
+  return fk_json_print(o);
+}
+
+void fk_worker_orders_free(FkWorkerOrders *o) {
+  g_clear_pointer(&o->orders, g_ptr_array_unref);
+  g_free(o->foreman);
+  g_free(o);
+}
+
+static void order_free(gpointer p) {
+  g_free(((FkOrder *)p)->job);
+  g_free(p);
+}
+
+static FkOrder *parse_order(const cJSON *j) {
+  const char *verb = fk_json_str(j, "verb"), *name = fk_json_str(j, "strand");
+  const char *slash = name ? strrchr(name, '/') : NULL;
+  guint64 task, attempt;
+  if (!verb || !slash || !fk_json_u64(j, "try", &attempt) ||
+      !g_ascii_string_to_unsigned(slash + 1, 10, 0, G_MAXUINT32, &task, NULL))
+    return NULL;
+  for (guint i = 0; i < G_N_ELEMENTS(ops); i++) {
+    if (!g_str_equal(ops[i], verb))
+      continue;
+    FkOrder *o = g_new0(FkOrder, 1);
+    *o = (FkOrder){(FkOrderOp)i,
+                   g_strndup(name, slash - name),
+                   (guint32)task,
+                   {attempt},
+                   fk_json_num_or(j, "mercy_s", 0)};
+    return o;
+  }
+  return NULL;
+}
+
+static FkWorkerOrders *parse_orders(const cJSON *o) {
+  g_autoptr(FkWorkerOrders) orders = g_new0(FkWorkerOrders, 1);
+  orders->orders = g_ptr_array_new_with_free_func(order_free);
+  orders->foreman = g_strdup(fk_json_str(o, "foreman"));
+  if (!cJSON_IsObject(o) || !fk_json_u64(o, "baton", &orders->token.n))
+    return orders->foreman ? g_steal_pointer(&orders) : NULL;
+  const cJSON *item;
+  cJSON_ArrayForEach(item, fk_json_get(o, "orders")) {
+    FkOrder *order = parse_order(item);
+    if (!order)
+      return NULL;
+    g_ptr_array_add(orders->orders, order);
+  }
+  return g_steal_pointer(&orders);
+}
+
+FkWorkerOrders *fk_worker_parse_reply(guint status, const char *body, gsize len) {
+  g_autoptr(cJSON) o = status == 200 || status == 421 ? fk_json_parse(body, len) : NULL;
+  return o ? parse_orders(o) : NULL;
+}
+
+FkWorkerOrders *fk_worker_parse_commands(const char *body, gsize len) {
+  g_autoptr(cJSON) o = fk_json_parse(body, len);
+  guint64 session;
+  if (!o || !fk_json_u64(o, "shift", &session))
+    return NULL;
+  FkWorkerOrders *orders = parse_orders(o);
+  if (orders)
+    orders->session = session;
+  return orders;
+}
