--- a/src/lab/main.c
+++ b/src/lab/main.c
@@ -4,13 +4,15 @@
 
 #include "lab/recovery.h"
 #include "lab/scale/scale.h"
+#include "lab/scale/slopes.h"
 
 static const struct {
   const char *name, *what;
   int (*run)(int argc, char **argv);
 } subcommands[] = {
     {"recovery", "how long a fleet takes to recover from the loss of many machines", fk_lab_recovery},
-    {"scale", "real controllers against thousands of hollow workers, in real time", fk_lab_scale}};
+    {"scale", "real controllers against thousands of hollow workers, in real time", fk_lab_scale},
+    {"slopes", "straight lines through the figures of several scale runs", fk_lab_slopes}};
 
 static void quiet(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
   if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING) || g_getenv("LOG_LEVEL"))
