--- /dev/null
+++ b/test/test_scale.c
@@ -0,0 +1,323 @@
+/* The stand-ins of scale runs: models, codecs of the other side, load balancer, jobs and the checker of
+ * rules. */
+#include <string.h>
+
+#include "lab/scale/balancer.h"
+#include "lab/scale/check_rules.h"
+#include "lab/scale/plan.h"
+#include "lab/store_model.h"
+#include "lab/worker_model.h"
+#include "wire/cloud.h"
+#include "wire/store.h"
+#include "wire/user.h"
+#include "wire/worker.h"
+
+/* ------------------------------------------------------------------ the state service's model */
+
+static FkStoreOutcome write_one(FkStoreModel *s, const char *path, const char *value, guint64 stamp,
+                                guint64 hold) {
+  g_autoptr(GArray) guards = g_array_new(FALSE, FALSE, sizeof(FkStoreGuard)),
+                    writes = g_array_new(FALSE, FALSE, sizeof(FkStoreWrite));
+  g_autoptr(GPtrArray) failed = g_ptr_array_new_with_free_func(g_free);
+  FkStoreGuard guard = {path, stamp};
+  FkStoreWrite write = {path, value, hold};
+  g_array_append_val(guards, guard);
+  g_array_append_val(writes, write);
+  FkStoreOutcome o = fk_store_model_commit(s, guards, writes, failed);
+  g_assert_cmpuint(failed->len, ==, o == FK_STORE_CONFLICT);
+  return o;
+}
+
+static void test_store_model(void) {
+  g_autoptr(FkStoreModel) s = fk_store_model_new(4);
+  g_assert_cmpint(write_one(s, "a/1", "1", 0, 0), ==, FK_STORE_OK);
+  g_assert_cmpint(write_one(s, "a/1", "2", 0, 0), ==, FK_STORE_CONFLICT);
+  g_assert_cmpint(write_one(s, "a/1", "2", 1, 0), ==, FK_STORE_OK);
+  g_assert_cmpuint(fk_store_model_get(s, "a/1")->stamp, ==, 2);
+  g_assert_cmpint(write_one(s, "a/2", "1", 0, 77), ==, FK_STORE_NO_HOLD);
+  guint64 hold = fk_store_model_hold(s, 0, 5);
+  g_assert_cmpint(write_one(s, "a/2", "1", 0, hold), ==, FK_STORE_OK);
+  g_assert_true(fk_store_model_renew(s, 4000000, hold));
+  fk_store_model_expire(s, 8999999);
+  g_assert_nonnull(fk_store_model_get(s, "a/2"));
+  fk_store_model_expire(s, 9000000);
+  g_assert_null(fk_store_model_get(s, "a/2"));
+  g_assert_false(fk_store_model_renew(s, 9000000, hold));
+  g_autoptr(GPtrArray) changes = fk_store_model_changes(s, "a/", 2);
+  g_assert_cmpuint(changes->len, ==, 2); /* it came, and went */
+  g_assert_null(((FkStoreChange *)changes->pdata[1])->value);
+  write_one(s, "b/1", "1", 0, 0);
+  g_assert_null(fk_store_model_changes(s, "a/", 0)); /* the history doesn't go back so far */
+  gboolean more;
+  g_autoptr(GPtrArray) first = fk_store_model_list(s, "", NULL, 1, G_MAXSIZE, &more);
+  g_assert_true(more);
+  g_autoptr(GPtrArray) rest =
+      fk_store_model_list(s, "", ((FkStoreItem *)first->pdata[0])->path, 10, G_MAXSIZE, &more);
+  g_assert_false(more);
+  g_assert_cmpuint(first->len + rest->len, ==, fk_store_model_size(s));
+}
+
+static void test_store_budget(void) {
+  FkStoreBudget b = {0};
+  g_assert_true(fk_store_budget_take(&b, 1000000, 10, 5, 5));
+  g_assert_false(fk_store_budget_take(&b, 1000000, 10, 5, 1)); /* the writes are gone */
+  for (guint i = 0; i < 9; i++)
+    g_assert_true(fk_store_budget_take(&b, 1000000, 10, 5, 0));
+  g_assert_false(fk_store_budget_take(&b, 1000000, 10, 5, 0)); /* and the requests */
+  g_assert_true(fk_store_budget_take(&b, 1200000, 10, 5, 1));
+}
+
+/* ------------------------------------------------------------------ the worker's model */
+
+static double two_cpus(gpointer owner, const char *job) { return g_str_equal(job, "unknown") ? -1 : 2; }
+static void accepted(gpointer owner, FkWorkerModel *w, FkWorkerTask *t) { ++*(guint *)owner; }
+static void left(gpointer owner, FkWorkerModel *w, FkWorkerTask *t) { --*(guint *)owner; }
+
+static FkOrder *order(FkOrderOp op, const char *job, guint32 task, guint64 attempt) {
+  FkOrder *o = g_new0(FkOrder, 1);
+  *o = (FkOrder){op, g_strdup(job), task, {attempt}, 0};
+  return o;
+}
+
+static void order_free(gpointer p) {
+  g_free(((FkOrder *)p)->job);
+  g_free(p);
+}
+
+static void test_worker_model(void) {
+  guint on = 0;
+  guint64 serials = 0;
+  FkWorkerHooks hooks = {two_cpus, accepted, left, &on, &serials};
+  FkWorkerModel w;
+  fk_worker_model_init(&w, "i-1", "127.0.0.1:1", "box", "north", FALSE, 4);
+  g_autoptr(GPtrArray) orders = g_ptr_array_new_with_free_func(order_free);
+  g_ptr_array_add(orders, order(FK_ORDER_START, "run-1", 0, 1));
+  g_ptr_array_add(orders, order(FK_ORDER_START, "run-1", 0, 1)); /* again: nothing */
+  g_ptr_array_add(orders, order(FK_ORDER_START, "run-1", 0, 2)); /* busy */
+  g_ptr_array_add(orders, order(FK_ORDER_START, "run-1", 1, 3));
+  g_ptr_array_add(orders, order(FK_ORDER_START, "run-1", 2, 4)); /* full */
+  g_ptr_array_add(orders, order(FK_ORDER_START, "unknown", 0, 5));
+  g_assert_false(fk_worker_model_commanded(&w, &hooks, 2, (FkToken){5}, orders)); /* another session */
+  g_assert_true(fk_worker_model_commanded(&w, &hooks, 1, (FkToken){5}, orders));
+  g_assert_false(fk_worker_model_commanded(&w, &hooks, 1, (FkToken){4}, orders)); /* a lower token */
+  static const FkWhy whys[] = {FK_WHY_NONE, FK_WHY_BUSY, FK_WHY_NONE, FK_WHY_FULL, FK_WHY_UNKNOWN};
+  g_assert_cmpuint(w.tasks->len, ==, G_N_ELEMENTS(whys));
+  for (guint i = 0; i < w.tasks->len; i++)
+    g_assert_cmpint(((FkWorkerTask *)w.tasks->pdata[i])->why, ==, whys[i]);
+  g_assert_cmpuint(on, ==, 2);
+  /* an answer renews the lease from the sending of its report; then it runs out, and all is gone */
+  g_assert_true(fk_worker_model_answered(&w, &hooks, 1, 1000000, (FkToken){5}, NULL));
+  g_assert_false(fk_worker_model_expire(&w, &hooks, 11000000, 10));
+  g_assert_true(fk_worker_model_expire(&w, &hooks, 11000001, 10));
+  g_assert_cmpuint(w.session, ==, 2);
+  g_assert_cmpuint(w.tasks->len, ==, 0);
+  fk_worker_model_clear(&w);
+}
+
+/* ------------------------------------------------------------------ codecs, there and back */
+
+static void test_codecs(void) {
+  guint64 serials = 0;
+  guint on = 0;
+  FkWorkerHooks hooks = {two_cpus, accepted, left, &on, &serials};
+  FkWorkerModel w;
+  fk_worker_model_init(&w, "i-1", "127.0.0.1:1", "box", "north", TRUE, 4);
+  g_autoptr(GPtrArray) orders = g_ptr_array_new_with_free_func(order_free);
+  g_ptr_array_add(orders, order(FK_ORDER_START, "run-1", 7, G_GUINT64_CONSTANT(12345678901234567)));
+  const FkOut out = {.status = 200, .token = {9}, .session = 1, .orders = orders};
+  g_autofree char *commands = fk_worker_print_commands(&out), *reply = fk_worker_print_reply(&out);
+  g_autoptr(FkWorkerOrders) command = fk_worker_parse_commands(commands, strlen(commands)),
+                            answer = fk_worker_parse_reply(200, reply, strlen(reply));
+  g_assert_cmpuint(command->session, ==, 1);
+  g_assert_cmpuint(answer->token.n, ==, 9);
+  fk_worker_model_execute(&w, &hooks, answer->orders);
+  g_autoptr(FkReport) says = fk_worker_model_report(&w);
+  g_autofree char *body = fk_worker_print_report(says);
+  g_autoptr(FkReport) read = fk_worker_parse_report(body, strlen(body));
+  g_assert_cmpstr(read->machine, ==, "i-1");
+  g_assert_true(read->spot);
+  const FkTaskReport *t = read->tasks->pdata[0];
+  g_assert_cmpuint(t->task, ==, 7);
+  g_assert_cmpuint(t->attempt.n, ==, G_GUINT64_CONSTANT(12345678901234567));
+  fk_worker_model_clear(&w);
+  static const char *const malformed[] = {"", "[]", "{\"baton\":1,\"orders\":[{\"verb\":\"dance\"}]}"};
+  for (guint i = 0; i < G_N_ELEMENTS(malformed); i++)
+    g_assert_null(fk_worker_parse_reply(200, malformed[i], strlen(malformed[i])));
+}
+
+static void test_store_codec(void) {
+  const char *text =
+      "{\"guards\":[{\"path\":\"a\",\"stamp\":3}],\"writes\":[{\"put\":\"a\",\"value\":{\"x\":1},"
+      "\"tether\":4},{\"delete\":\"b\"}]}";
+  g_autoptr(FkStoreTransaction) t = fk_store_parse_transaction(text, strlen(text));
+  const FkStoreChangeAsked *put = &g_array_index(t->changes, FkStoreChangeAsked, 0),
+                           *gone = &g_array_index(t->changes, FkStoreChangeAsked, 1);
+  g_assert_cmpstr(put->value, ==, "{\"x\":1}");
+  g_assert_cmpuint(put->hold, ==, 4);
+  g_assert_null(gone->value);
+  g_assert_cmpuint(g_array_index(t->conditions, FkStoreCondition, 0).stamp, ==, 3);
+  static const char *const malformed[] = {"", "[]", "{\"writes\":[{\"put\":\"a\"}]}", "{\"guards\":[{}]}"};
+  for (guint i = 0; i < G_N_ELEMENTS(malformed); i++)
+    g_assert_null(fk_store_parse_transaction(malformed[i], strlen(malformed[i])));
+}
+
+/* ------------------------------------------------------------------ jobs */
+
+static FkScalePlan *small_plan(void) {
+  FkScalePlan *p = fk_scale_plan_new();
+  p->tasks_per_job = 2;
+  p->workers = 4;
+  p->teams = 4;
+  p->cancel_s = 10;
+  return p;
+}
+
+static void test_jobs(void) {
+  g_autoptr(FkScalePlan) p = small_plan();
+  for (guint64 n = 0; n < 50; n++) {
+    g_autofree char *id = fk_scale_job_id(3, n);
+    g_autoptr(FkSpec) a = fk_scale_job(p, id), b = fk_scale_job(p, id);
+    g_autofree char *sent = fk_user_print_submission(a);
+    const char *why = NULL;
+    g_autoptr(FkSpec) read = fk_user_parse_submission(sent, strlen(sent), &why);
+    g_assert_nonnull(read);
+    g_assert_cmpstr(read->team, ==, b->team);
+    g_assert_cmpuint(read->tasks, ==, b->tasks);
+    g_assert_cmpint(fk_scale_job_urgent(read), ==, n % 2);
+  }
+  g_assert_null(fk_scale_job(p, "run-1"));
+  g_assert_null(fk_scale_job(p, "nonsense"));
+}
+
+static void test_plan(void) {
+  g_autoptr(FkScalePlan) p = small_plan();
+  g_autoptr(GError) error = NULL;
+  p->dir = g_strdup("x");
+  g_assert_true(fk_scale_plan_add_fault(p, "kill@20:3", &error));
+  g_assert_true(fk_scale_plan_add_fault(p, "rack@5", &error));
+  static const char *const wrong[] = {"kill", "kill@", "kill@x", "flood@3", "kill@3:x", "kill@-1"};
+  for (guint i = 0; i < G_N_ELEMENTS(wrong); i++) {
+    g_assert_false(fk_scale_plan_add_fault(p, wrong[i], &error));
+    g_clear_error(&error);
+  }
+  g_autoptr(cJSON) o = fk_scale_plan_to_json(p);
+  g_autoptr(FkScalePlan) q = fk_scale_plan_from_json(o);
+  g_assert_cmpuint(q->workers, ==, 4);
+  g_assert_cmpuint(q->faults->len, ==, 2);
+  g_assert_cmpfloat(g_array_index(q->faults, FkFault, 0).for_s, ==, 3);
+  g_assert_true(fk_scale_plan_check(p, &error));
+  p->workers = 0;
+  g_assert_false(fk_scale_plan_check(p, &error));
+}
+
+/* ------------------------------------------------------------------ the balancer */
+
+static void test_balancer(void) {
+  FkBalancer *b = fk_balancer_new(2);
+  g_assert_cmpint(fk_balancer_pick(b, 0), ==, -1);
+  fk_balancer_probed(b, 0, TRUE, 0); /* one success is enough at first */
+  fk_balancer_probed(b, 1, TRUE, 0);
+  int first = fk_balancer_pick(b, 0), second = fk_balancer_pick(b, 0);
+  g_assert_cmpint(first + second, ==, 1); /* fewest open connections */
+  fk_balancer_probed(b, 0, FALSE, 1000000);
+  fk_balancer_probed(b, 0, FALSE, 2000000);
+  g_assert_cmpuint(fk_balancer_healthy(b), ==, 1);
+  fk_balancer_probed(b, 0, TRUE, 3000000);
+  fk_balancer_probed(b, 0, TRUE, 4000000);
+  g_assert_cmpuint(fk_balancer_healthy(b), ==, 1); /* not before 3 s have gone by */
+  fk_balancer_probed(b, 0, TRUE, 5000000);
+  g_assert_cmpuint(fk_balancer_healthy(b), ==, 2);
+  for (guint i = 0; i < 3; i++) { /* refused three times in a row: skipped */
+    fk_balancer_pick(b, 6000000);
+    fk_balancer_closed(b, 1, TRUE, 6000000);
+  }
+  g_assert_cmpint(fk_balancer_pick(b, 6000000), ==, 0);
+  fk_balancer_free(b);
+}
+
+/* ------------------------------------------------------------------ the rules */
+
+typedef struct {
+  const char *rule; /* broken; NULL: none */
+  struct {
+    double at_s;
+    FkEventKind kind;
+    guint32 task;
+    const char *machine;
+  } events[8]; /* in order of time; the first without a time ends them */
+} RuleCase;
+
+#define BULK 0 /* number of the job */
+
+static const RuleCase rule_cases[] = {
+    {NULL,
+     {{1, FK_EVENT_SUBMITTED, 0, NULL},
+      {2, FK_EVENT_ACCEPTED, 0, NULL},
+      {3, FK_EVENT_BEGAN, 0, "i-1"},
+      {4, FK_EVENT_LEFT, 0, "i-1"},
+      {5, FK_EVENT_BEGAN, 0, "i-2"},
+      {6, FK_EVENT_ANSWERED, 0, NULL}}},
+    {"ran_twice", {{1, FK_EVENT_BEGAN, 0, "i-1"}, {2, FK_EVENT_BEGAN, 0, "i-2"}}},
+    {"not_done", {{1, FK_EVENT_ACCEPTED, 0, NULL}, {2, FK_EVENT_DONE, 0, NULL}}},
+    {"went_back",
+     {{1, FK_EVENT_ASKED_CANCEL, 0, NULL},
+      {2, FK_EVENT_CANCELLED, 0, NULL},
+      {3, FK_EVENT_ANSWERED, 0, NULL}}},
+    {"went_back", {{1, FK_EVENT_ACCEPTED, 0, NULL}, {2, FK_EVENT_CANCELLED, 0, NULL}}},
+    {"forgotten", {{1, FK_EVENT_ACCEPTED, 0, NULL}, {2, FK_EVENT_UNKNOWN, 0, NULL}}},
+    {"forgotten", {{1, FK_EVENT_ACCEPTED, 0, NULL}, {92, FK_EVENT_ANSWERED, 0, NULL}}},
+    {"ran_cancelled",
+     {{1, FK_EVENT_ASKED_CANCEL, 0, NULL}, {2, FK_EVENT_CANCELLED, 0, NULL}, {13, FK_EVENT_BEGAN, 0, "i-1"}}},
+    {"ran_cancelled",
+     {{1, FK_EVENT_BEGAN, 0, "i-1"},
+      {2, FK_EVENT_ASKED_CANCEL, 0, NULL},
+      {3, FK_EVENT_CANCELLED, 0, NULL},
+      {14, FK_EVENT_LEFT, 0, "i-1"}}},
+    {"invented", {{1, FK_EVENT_BEGAN, 4000, "i-1"}}}};
+
+static void test_rules(void) {
+  g_autoptr(FkScalePlan) p = small_plan();
+  g_autofree char *id = fk_scale_job_id(0, BULK);
+  for (guint i = 0; i < G_N_ELEMENTS(rule_cases); i++) {
+    const RuleCase *c = &rule_cases[i];
+    g_autoptr(GArray) events = fk_run_events_new();
+    for (guint k = 0; k < G_N_ELEMENTS(c->events) && c->events[k].at_s > 0; k++) {
+      FkRunEvent e = {(gint64)(c->events[k].at_s * 1e6), c->events[k].kind, g_strdup(id), c->events[k].task,
+                      g_strdup(c->events[k].machine)};
+      g_array_append_val(events, e);
+    }
+    g_autoptr(GPtrArray) broken = fk_scale_check_rules(p, 0, events);
+    g_assert_cmpuint(broken->len, ==, c->rule != NULL);
+    g_assert_true(!c->rule || g_str_has_prefix(broken->pdata[0], c->rule));
+  }
+}
+
+static void test_quota_rule(void) {
+  g_autoptr(FkScalePlan) p = small_plan();
+  p->tasks_per_job = 1000;
+  g_autofree char *id = fk_scale_job_id(0, BULK);
+  g_autoptr(GArray) events = fk_run_events_new();
+  guint most = (guint)fk_scale_team_limit(p, 0);
+  for (guint i = 0; i <= most; i++) {
+    FkRunEvent e = {i + 1, FK_EVENT_BEGAN, g_strdup(id), i, g_strdup("i-1")};
+    g_array_append_val(events, e);
+  }
+  g_autoptr(GPtrArray) broken = fk_scale_check_rules(p, 0, events);
+  g_assert_cmpuint(broken->len, ==, 1);
+  g_assert_true(g_str_has_prefix(broken->pdata[0], "quota"));
+}
+
+int main(int argc, char **argv) {
+  g_test_init(&argc, &argv, NULL);
+  g_test_add_func("/scale/store_model", test_store_model);
+  g_test_add_func("/scale/store_budget", test_store_budget);
+  g_test_add_func("/scale/worker_model", test_worker_model);
+  g_test_add_func("/scale/codecs", test_codecs);
+  g_test_add_func("/scale/store_codec", test_store_codec);
+  g_test_add_func("/scale/jobs", test_jobs);
+  g_test_add_func("/scale/plan", test_plan);
+  g_test_add_func("/scale/balancer", test_balancer);
+  g_test_add_func("/scale/rules", test_rules);
+  g_test_add_func("/scale/quota_rule", test_quota_rule);
+  return g_test_run();
+}
