Urgent work is launched before its time, a few times a second

Change: while something of a rank above the usual one waits, a look goes before its time, five times a second at the most, for such work alone; what it writes is added to the pause of the others. /looks/urgent_before_its_time fails without it.

--- a/src/core/batch.h
+++ b/src/core/batch.h
@@ -13,6 +13,7 @@
   guint bytes;
   FkWaits waits;
   guint booked;
+  gboolean urgent_only; /* it goes before its time: nothing else may share its writes */
 } FkBatch;
 
 /* No further task goes in. */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -166,6 +166,7 @@
   gboolean launching;
   FkRev launch_wait;
   FkTime launch_after;
+  FkTime urgent_after; /* urgent work may be launched before `launch_after`, from here on */
   GArray *pending; /* FkPend: room promised to launches that the view doesn't show yet */
 
   /* windows */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -25,7 +25,7 @@
   if (o == FK_OK || o == FK_CONFLICT)
     c->launch_wait = epoch; /* what comes next is decided on a view that shows this */
   else
-    c->launch_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.15, 0.5));
+    c->launch_after = c->urgent_after = fk_time_add(c->now, g_rand_double_range(c->rand, 0.15, 0.5));
   if (o == FK_OK)
     fk_waits_add(&c->waits, &call->waits);
 }
@@ -84,21 +84,57 @@
   return cpus == G_MAXDOUBLE ? g_ptr_array_new() : fk_rooms_open(c, FALSE, cpus, mem);
 }
 
+#define URGENT_EVERY_S 0.2
+
+/* The pace saves the store's writes for what comes next; urgent work is what they are saved for. It goes
+ * before its time, a few times a second, and what it writes is added to the pause of the others: behind a
+ * launch of twenty writes it would wait for up to 3 s. */
+static gboolean goes_before_its_time(FkController *c) {
+  return !fk_time_reached(c->now, c->launch_after) && fk_time_reached(c->now, c->urgent_after) &&
+         fk_turn_urgent_waits(c);
+}
+
 /* Why nothing can be launched now, or NULL. */
-static const char *hindrance(FkController *c) {
+static const char *hindrance(FkController *c, gboolean urgent_only) {
   if (!fk_ready(c) || !g_hash_table_size(c->types))
     return "not ready";
   if (c->launching || c->fencing)
     return "a launch is under way";
   if (c->view->applied.n < c->launch_wait.n)
     return "the view is behind";
-  if (!fk_time_reached(c->now, c->launch_after))
+  if (!fk_time_reached(c->now, c->launch_after) && !urgent_only)
     return "pace";
   return !c->fence_needed && c->write_room < FK_LAUNCH_MIN ? "the store's budget" : NULL;
 }
 
+/* The order goes by rank first. */
+static void keep_urgent(GPtrArray *jobs) {
+  guint n = 0;
+  while (n < jobs->len && ((FkJob *)jobs->pdata[n])->rank_now < FK_RANK_NORMAL)
+    n++;
+  g_ptr_array_set_size(jobs, (gint)n);
+}
+
+static void pause_after_look(FkController *c, gboolean urgent_only) {
+  double pause_s = LOOK_PER_MACHINE * g_hash_table_size(c->view->machines);
+  c->urgent_after = fk_time_add(c->now, URGENT_EVERY_S);
+  if (!urgent_only)
+    c->launch_after = fk_time_add(c->now, MIN(LOOK_PAUSE_MOST_S, pause_s));
+}
+
+#define PACE_MOST_S 3.0
+
+static void pause_after_launch(FkController *c, guint writes, gboolean urgent_only) {
+  /* The leader places all services, so it may write like all the others together. */
+  guint n = c->leading ? 2 : 1 + g_hash_table_size(c->view->nodes);
+  double pace_s = fk_pace_s(c, writes, LAUNCH_SHARE * fk_controllers(c) * 2 / n);
+  double before_s = urgent_only ? MAX(0, fk_time_between(c->now, c->launch_after)) : 0;
+  c->launch_after = fk_time_add(c->now, MIN(PACE_MOST_S, before_s + pace_s));
+}
+
 void fk_place(FkController *c) {
-  const char *why = hindrance(c);
+  gboolean urgent_only = goes_before_its_time(c);
+  const char *why = hindrance(c, urgent_only);
   if (why) {
     guint n = GPOINTER_TO_UINT(g_hash_table_lookup(c->hindrances, why));
     g_hash_table_insert(c->hindrances, (gpointer)why, GUINT_TO_POINTER(n + 1));
@@ -111,12 +147,13 @@
   fk_pending_clear(c);
   fk_rooms_refresh(c);
   g_autoptr(GPtrArray) jobs = fk_turn_waiting(c);
+  if (urgent_only)
+    keep_urgent(jobs);
   if (!jobs->len)
     return;
-  double pause_s = LOOK_PER_MACHINE * g_hash_table_size(c->view->machines);
-  c->launch_after = fk_time_add(c->now, MIN(LOOK_PAUSE_MOST_S, pause_s));
+  pause_after_look(c, urgent_only);
   g_autoptr(GPtrArray) all = open_for_long(c, jobs);
-  FkBatch b = {0};
+  FkBatch b = {.urgent_only = urgent_only};
   g_autoptr(GHashTable) chunks = b.chunks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   g_autoptr(GHashTable) teams = b.teams = g_hash_table_new(g_str_hash, g_str_equal);
   g_autoptr(GArray) kept = g_array_new(FALSE, FALSE, sizeof(FkPend));
@@ -134,9 +171,6 @@
   LaunchCall *call = g_new0(LaunchCall, 1);
   call->waits = b.waits;
   c->launching = TRUE;
-  /* The leader places all services, so it may write like all the others together. */
-  guint n = c->leading ? 2 : 1 + g_hash_table_size(c->view->nodes);
-  double pace = fk_pace_s(c, b.txn->writes->len - 1, LAUNCH_SHARE * fk_controllers(c) * 2 / n);
-  c->launch_after = fk_time_add(c->now, MIN(3.0, pace));
+  pause_after_launch(c, b.txn->writes->len - 1, urgent_only);
   fk_txn_send(c, b.txn, launched, call, g_free);
 }
--- a/src/core/short.c
+++ b/src/core/short.c
@@ -131,6 +131,8 @@
   }
   for (guint i = 0; i < n && !fk_batch_full(c, b); i++) {
     FkJob *j = waiting[i];
+    if (b->urgent_only && j->rank_now >= FK_RANK_NORMAL)
+      continue;
     if ((spot_first && !m->rec->spot && j->spec->spot && !all_had_their_turn(c, j)) ||
         fk_turn_yields(c, j, m))
       continue;
--- a/src/core/turn.c
+++ b/src/core/turn.c
@@ -284,6 +284,25 @@
   return jobs;
 }
 
+static gboolean is_urgent(FkController *c, const FkJob *j) {
+  return j->pulled_rank < FK_RANK_NORMAL && waits(c, j) && fk_time_reached(c->now, j->retry_at) &&
+         (c->leading || !fk_spec_long(c, j->spec)) && fk_team_has_limit_left(c, j->spec);
+}
+
+gboolean fk_turn_urgent_waits(FkController *c) {
+  g_autoptr(GPtrArray) first = g_ptr_array_new();
+  fk_wait_queue_first(c->turn->queue, 1, 1, any, NULL, first);
+  if (first->len && is_urgent(c, first->pdata[0]))
+    return TRUE;
+  GHashTableIter it;
+  gpointer j;
+  g_hash_table_iter_init(&it, c->view->jobs_touched);
+  while (g_hash_table_iter_next(&it, &j, NULL))
+    if (is_urgent(c, j))
+      return TRUE;
+  return FALSE;
+}
+
 guint64 fk_turn_touched(const FkTurn *o) { return o->touched; }
 
 GPtrArray *fk_turn_waiting(FkController *c) {
--- a/src/core/turn.h
+++ b/src/core/turn.h
@@ -10,6 +10,8 @@
 /* FkJob, borrowed from the view: those with tasks that may start now, the first to go first. Works out anew
  * all that the other functions tell. Of very many only the first, and some of the others in turns. */
 GPtrArray *fk_turn_waiting(FkController *c);
+/* Something of a rank above the usual one waits that this controller may place. */
+gboolean fk_turn_urgent_waits(FkController *c);
 /* Jobs that took their places anew so far, in all looks: what looks have cost. */
 guint64 fk_turn_touched(const FkTurn *o);
 /* The job must leave the machine's room alone: work that goes before it waits for such room. Small tasks of a
--- a/test/test_looks.c
+++ b/test/test_looks.c
@@ -158,6 +158,33 @@
   g_assert_cmpfloat(c.jobs, >=, 100);
 }
 
+#define URGENT                                                                                               \
+  "{\"class\":\"u\",\"team\":\"red\",\"shape\":0,\"rank\":1,\"tasks\":1,\"cpus\":2,\"gpus\":0,\"mem\":2,"    \
+  "\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,\"spread\":false,\"spot\":false,\"estimate\":10,"       \
+  "\"checkpoint\":0,\"save\":0,\"submitted\":1000,\"owner\":\"c-0\",\"chunk\":16}"
+
+/* A large launch makes the next one wait, but not urgent work; what that writes is added to the pause. */
+static void test_urgent_before_its_time(void) {
+  Rig *r = rig_new(TRUE);
+  FkController *c = r->c;
+  report(r, 1, 1, 11, NULL, FK_WHY_NONE);
+  c->fence_needed = c->fencing = c->launching = FALSE;
+  c->launch_wait.n = 0;
+  c->write_room = FK_LAUNCH_MIN; /* few: nothing is unhurried */
+  c->launch_after = fk_time_add(r->now, 2);
+  g_ptr_array_set_size(r->outs, 0);
+  tick(r, 0.5);
+  g_assert_null(find(r, FK_OUT_COMMIT, "fk/l/t/")); /* run-1 waits, and isn't urgent */
+  const char *urgent[] = {"fk/l/j/run-2", URGENT, NULL};
+  FkTime before = c->launch_after;
+  watched(r, urgent);
+  tick(r, 0.3);
+  g_assert_nonnull(find(r, FK_OUT_COMMIT, "fk/l/t/run-2/"));
+  g_assert_null(find(r, FK_OUT_COMMIT, "fk/l/t/run-1/"));
+  g_assert_true(fk_time_reached(c->launch_after, before));
+  rig_free(r);
+}
+
 /* ------------------------------------------------------------------ the indexes */
 
 static void test_wait_key(void) {
@@ -254,5 +281,6 @@
   g_test_add_func("/looks/few", test_few_are_all_looked_at);
   g_test_add_func("/looks/flat_in_jobs", test_flat_in_jobs);
   g_test_add_func("/looks/flat_in_machines", test_flat_in_machines);
+  g_test_add_func("/looks/urgent_before_its_time", test_urgent_before_its_time);
   return g_test_run();
 }
