The circle of files round the controller is opened (moves, and hooks where calls ran upward)

A machine carries the function that frees its home's part; the index of rooms hears of dropped machines from the view. What is left by the same measure: lifecycle, session and users.

--- a/src/core/calls.c
+++ b/src/core/calls.c
@@ -4,6 +4,7 @@
  * come: what got lost, or is carried out in ten seconds' time, must not keep a user, or all of a home's
  * launches, waiting for the deadline. That is as safe as the network's own repeats (docs/design.md, "Asked
  * again"): its guards let it be carried out once at the most. */
+#include "core/controller.h"
 #include "core/internal.h"
 
 #define AGAIN_TIMES 4.0    /* as late as answers usually come ... */
--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -12,10 +12,6 @@
 #define BACK_MAX 2         /* groups taken back from the living at a time */
 #define BACK_PAUSE_S 2.0
 
-gboolean fk_group_mine(FkController *c, const FkGroup *g) {
-  return g->home && g_str_equal(g->home, c->settings->node) && g_str_equal(g->life, c->life);
-}
-
 static gboolean lives(FkController *c, const char *node) {
   return g_str_equal(node, c->settings->node) || fk_alive(c, node);
 }
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,11 +1,9 @@
 /* The fleet: what to rent for what waits and for a little headroom, and what to return. */
+#include "core/controller.h"
 #include "core/fleet_internal.h"
 
 #include <string.h>
 
-#define TICK_S 0.5
-#define IDLE_EVERY_S 2.0 /* while services wait for the store's writes: more machines a page */
-
 static void booting_free(gpointer p) {
   Booting *b = p;
   g_free(b->id);
@@ -137,7 +135,7 @@
 
 /* ------------------------------------------------------------------ renting */
 
-static void hire_send(FkController *c, Hire *h) {
+void fk_fleet_hire_send(FkController *c, Hire *h) {
   FkOut *o = fk_out(c, FK_OUT_RENT);
   o->call = ++c->next_call;
   o->name = g_strdup(h->name);
@@ -149,7 +147,7 @@
   h->call = o->call;
 }
 
-static void rent(FkController *c, const char *type, const char *zone, gboolean spot, guint count) {
+void fk_fleet_rent(FkController *c, const char *type, const char *zone, gboolean spot, guint count) {
   FkFleet *f = c->fleet;
   Hire *h = g_new0(Hire, 1);
   /* A name is never used again, by whoever leads: the hold's number is the store's, the counter ours. */
@@ -163,7 +161,7 @@
   const FkType *t = g_hash_table_lookup(c->types, type);
   fk_hold_rented(&f->hold[spot != 0], t ? h->count * t->cpus : 0, c->now);
   g_info("renting %u %s in %s%s", h->count, type, zone, spot ? ", spot" : "");
-  hire_send(c, h);
+  fk_fleet_hire_send(c, h);
 }
 
 void fk_controller_rented(FkController *c, FkTime now, guint64 call, FkOutcome o, GPtrArray *names) {
@@ -217,53 +215,3 @@
     return;
   }
 }
-
-#define HIRES_MAX 3 /* requests a tick */
-
-static void hire_planned(FkController *c, const Bins *bins) {
-  guint requests = 0;
-  for (guint i = 0; i < bins->hire->len; i++) {
-    Bin *h = &g_array_index(bins->hire, Bin, i);
-    while (h->count && requests < HIRES_MAX) {
-      guint n = MIN(h->count, 50);
-      rent(c, h->key.type->name, h->key.zone, h->key.spot, n);
-      h->count -= n;
-      requests++;
-    }
-  }
-}
-
-void fk_fleet_tick(FkController *c) {
-  FkFleet *f = c->fleet;
-  if (!f->list_pending && fk_time_reached(c->now, f->list_next)) {
-    FkOut *o = fk_out(c, FK_OUT_MACHINES);
-    o->after = g_strdup(f->after ? f->after : "");
-    f->list_pending = TRUE;
-  }
-  fk_fleet_return_some(c);
-  for (guint i = 0; i < f->hires->len; i++) {
-    Hire *h = f->hires->pdata[i];
-    if (!h->under_way && fk_time_reached(c->now, h->again))
-      hire_send(c, h);
-  }
-  /* a new leader first learns what there is */
-  if (!f->listed_once && fk_time_between(c->led_since, c->now) < 5)
-    return;
-  if (!fk_time_reached(c->now, f->next) || !g_hash_table_size(c->types))
-    return;
-  f->next = fk_time_add(c->now, TICK_S);
-  fk_fleet_learn_rates(c, TICK_S);
-  Bins bins = {g_array_new(FALSE, TRUE, sizeof(Bin)),
-               g_hash_table_new_full(fk_bin_hash, fk_bin_equal, g_free, NULL),
-               g_array_new(FALSE, TRUE, sizeof(Bin))};
-  fk_fleet_demand(c, &bins);
-  hire_planned(c, &bins);
-  if (!fk_services_first(c) || fk_time_reached(c->now, f->idle_next)) {
-    f->idle_next = fk_time_add(c->now, IDLE_EVERY_S);
-    fk_fleet_give_back_idle(c, &bins);
-  }
-  fk_fleet_drain_dear(c);
-  g_array_unref(bins.list);
-  g_array_unref(bins.hire);
-  g_hash_table_unref(bins.index);
-}
--- a/src/core/fleet_internal.h
+++ b/src/core/fleet_internal.h
@@ -84,6 +84,9 @@
 
 /* fleet.c */
 char *fk_fleet_offer_key(const char *type, const char *zone, gboolean spot);
+void fk_fleet_rent(FkController *c, const char *type, const char *zone, gboolean spot, guint count);
+/* Sends the request, for the first time or once more. */
+void fk_fleet_hire_send(FkController *c, Hire *h);
 
 /* fleet_plan.c */
 /* Arrivals of services are learnt, so that some room is up when the next one comes. */
--- a/src/core/fleet_return.c
+++ b/src/core/fleet_return.c
@@ -1,4 +1,5 @@
 /* Machines that go back: returned by the cloud's word, idle, or dearer than what runs there needs. */
+#include "core/controller.h"
 #include "core/fleet_internal.h"
 
 #include <string.h>
--- a/src/core/home.c
+++ b/src/core/home.c
@@ -1,7 +1,7 @@
 /* A home's dealings with its machines. Level-triggered: whenever a report or the view changes, the orders
  * that would bring the machine in line with the bookings are worked out anew. */
+#include "core/controller.h"
 #include "core/internal.h"
-#include "core/rooms.h"
 
 #define MAX_ORDERS 200 /* an answer's line stays far below 64 KiB */
 /* A worker that was sent to its home and can't reach it is back after 4 s for the answer, 1 s of pause and
@@ -24,7 +24,7 @@
 #define BRIEF_LEAST 8.0 /* of so few nothing can be said in a moment */
 #define CUT_OFF 0.25    /* when fewer than this share are heard, it is we who are cut off */
 
-FkHome *fk_home_new(void) {
+static FkHome *home_new(void) {
   FkHome *h = g_new0(FkHome, 1);
   h->unsure = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   h->sending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -32,9 +32,8 @@
   return h;
 }
 
-void fk_home_free(FkHome *h) {
-  if (!h)
-    return;
+static void home_free(gpointer p) {
+  FkHome *h = p;
   g_hash_table_unref(h->unsure);
   g_hash_table_unref(h->sending);
   g_hash_table_unref(h->offered);
@@ -42,16 +41,10 @@
   g_free(h);
 }
 
-gboolean fk_is_mine(FkController *c, const FkMachine *m) { return m->group && fk_group_mine(c, m->group); }
-
 static gboolean current(FkController *c) {
   return fk_ready(c) && fk_time_between(fk_confirmed(c), c->now) < fk_trust_s(c->settings);
 }
 
-gboolean fk_home_heard(const FkMachine *m) {
-  return m->home && m->home->evidence.shown.n && m->home->evidence.shown.n == m->group->rev.n;
-}
-
 /* It may lack a claim. */
 static gboolean view_old(FkController *c) { return fk_time_between(fk_confirmed(c), c->now) >= STALE_S; }
 
@@ -389,8 +382,10 @@
 
 /* Our claims as the view has them: new ones begin, lost ones end. */
 static void refresh_claim(FkController *c, FkMachine *m) {
-  if (!m->home)
-    m->home = fk_home_new();
+  if (!m->home) {
+    m->home = home_new();
+    m->home_free = home_free;
+  }
   if (m->home->rev.n != m->group->rev.n) {
     m->home->rev = m->group->rev;
     m->home->claimed_at = c->now;
@@ -606,7 +601,7 @@
     if (!m)
       continue;
     if (!fk_is_mine(c, m)) {
-      g_clear_pointer(&m->home, fk_home_free);
+      g_clear_pointer(&m->home, home_free);
       g_clear_pointer(&m->probes, g_ptr_array_unref);
       continue;
     }
@@ -727,10 +722,8 @@
     if (!m->books->len && m->pend_cpus <= 0 && !heard)
       g_ptr_array_add(drop, m);
   }
-  for (guint i = 0; i < drop->len; i++) {
-    fk_rooms_drop(c->rooms, drop->pdata[i]);
+  for (guint i = 0; i < drop->len; i++)
     fk_view_drop_machine(c->view, drop->pdata[i]);
-  }
 }
 
 static FkHeard *zone_heard(FkController *c, const char *zone) {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -1,7 +1,8 @@
 /* Shared between the core's own files; not for the shell. */
 #pragma once
-#include "core/controller.h"
 #include "core/evidence.h"
+#include "core/messages.h"
+#include "core/meter.h"
 #include "core/sizing.h"
 
 typedef void (*FkCommitted)(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed);
@@ -167,7 +168,7 @@
   FkRev launch_wait;
   FkTime launch_after;
   FkTime urgent_after; /* urgent work may be launched before `launch_after`, from here on */
-  GArray *pending; /* FkPend: room promised to launches that the view doesn't show yet */
+  GArray *pending;     /* FkPend: room promised to launches that the view doesn't show yet */
 
   /* windows */
   guint64 window;
@@ -199,10 +200,14 @@
   FkRev finalize_wait;
 };
 
-/* controller.c */
+/* state.c */
 FkOut *fk_out(FkController *c, FkOutKind kind);
 gboolean fk_ready(FkController *c);
 guint fk_controllers(FkController *c); /* how many live */
+/* Its part of the store's writes, by what the view says of the others. */
+double fk_write_share(FkController *c);
+/* It can take requests: it isn't the one that is cut off. */
+gboolean fk_serves(FkController *c, FkTime now);
 gboolean fk_alive(FkController *c, const char *node);
 gboolean fk_spec_long(FkController *c, const FkSpec *s);
 /* Services wait, and the store's writes are what they wait for: what nobody waits for comes later. */
@@ -229,6 +234,8 @@
                  GDestroyNotify free_data);
 /* session.c */
 void fk_session_tick(FkController *c);
+/* A watch was answered, or failed: what it tells is applied. */
+void fk_session_watched(FkController *c, FkOutcome o, GPtrArray *events, FkRev epoch, FkTime sent);
 
 /* chains.c */
 /* Every controller of the settings was started last in a version that knows of jobs that need others. What
@@ -238,7 +245,11 @@
 
 /* proof.c */
 #define FK_PEER_AFTER_S 2.5 /* without a look at the store, the others are asked */
-void fk_proof_tick(FkController *c);
+/* Asks the others what they know; `needed`: the revision that somebody waits for them to have, or 0. */
+void fk_proof_tick(FkController *c, FkRev needed);
+/* Another controller has answered. */
+void fk_proof_peer(FkController *c, const char *peer, const char *life, FkRev seen, double store_age_s,
+                   FkTime sent);
 /* The latest moment at which nothing can have been decided that our view doesn't show. */
 FkTime fk_confirmed(FkController *c);
 
@@ -309,7 +320,6 @@
 void fk_homes_view_changed(FkController *c);
 gboolean fk_is_mine(FkController *c, const FkMachine *m);
 gboolean fk_machine_usable(FkController *c, const FkMachine *m);
-void fk_home_free(FkHome *h);
 
 /* place.c */
 void fk_place(FkController *c);
@@ -322,7 +332,6 @@
 gboolean fk_team_allows(FkController *c, const FkSpec *s);
 /* Where a long task would go now; `zone` NULL: anywhere. */
 FkMachine *fk_best_for_long(FkController *c, const FkJob *j, GPtrArray *machines, const char *zone);
-GPtrArray *fk_usable_machines(FkController *c);
 const FkType *fk_type_of(FkController *c, const FkMachine *m);
 
 /* leader.c */
--- a/src/core/leader.c
+++ b/src/core/leader.c
@@ -2,6 +2,7 @@
  * Nothing is unsafe when two controllers think they lead: every decision is guarded by itself. */
 #include "core/batch.h"
 #include "core/overdue.h"
+#include "core/rooms.h"
 #include "core/stops.h"
 
 #include <string.h>
@@ -20,7 +21,7 @@
 
 static void campaign(FkController *c) {
   if (!leader_gone(c) || !c->hold.n || c->leader_pending || !fk_time_reached(c->now, c->leader_retry) ||
-      c->view->applied.n < c->leader_wait.n || !fk_controller_up(c, c->now))
+      c->view->applied.n < c->leader_wait.n || !fk_serves(c, c->now))
     return;
   FkOut *t = fk_txn_new(c, FK_PRIO_HOLD);
   FkRecord *r = fk_record_new(FK_KEY_LEADER);
--- a/src/core/controller.c
+++ b/src/core/lifecycle.c
@@ -1,98 +1,11 @@
 /* The controller: its calls to the store, its life and its clock. */
+#include "core/controller.h"
 #include "core/internal.h"
 #include "core/overdue.h"
 #include "core/rooms.h"
 #include "core/turn.h"
 
-#define ALONE_S 2.5
-#define CUT_OFF_S 6.0 /* the others are asked from FK_PEER_AFTER_S on, once a second */
-
-/* ------------------------------------------------------------------ small things */
-
-FkReport *fk_report_new(void);
-
-static void task_report_free(gpointer p) {
-  FkTaskReport *t = p;
-  g_free(t->job);
-  g_free(t);
-}
-
-FkReport *fk_report_new(void) {
-  FkReport *r = g_new0(FkReport, 1);
-  r->tasks = g_ptr_array_new_with_free_func(task_report_free);
-  r->notice_s = -1;
-  return r;
-}
-
-void fk_report_free(FkReport *r) {
-  if (!r)
-    return;
-  g_free(r->machine);
-  g_free(r->addr);
-  g_free(r->type);
-  g_free(r->zone);
-  g_ptr_array_unref(r->tasks);
-  g_free(r);
-}
-
-void fk_type_free(gpointer p) {
-  FkType *t = p;
-  g_free(t->name);
-  g_strfreev(t->zones);
-  g_free(t);
-}
-
-void fk_listed_free(gpointer p) {
-  FkListed *l = p;
-  g_free(l->id);
-  g_free(l->addr);
-  g_free(l->type);
-  g_free(l->zone);
-  g_free(l);
-}
-
-FkOut *fk_out_ref(FkOut *o) {
-  o->shared++;
-  return o;
-}
-
-void fk_out_free(FkOut *o) {
-  if (!o || o->shared--)
-    return;
-  g_free(o->job);
-  if (o->orders)
-    g_ptr_array_unref(o->orders);
-  g_free(o->report_to);
-  if (o->guards) {
-    for (guint i = 0; i < o->guards->len; i++)
-      g_free(g_array_index(o->guards, FkGuard, i).path);
-    g_array_unref(o->guards);
-  }
-  if (o->writes) {
-    for (guint i = 0; i < o->writes->len; i++) {
-      g_free(g_array_index(o->writes, FkWrite, i).path);
-      fk_record_free(g_array_index(o->writes, FkWrite, i).record);
-    }
-    g_array_unref(o->writes);
-  }
-  g_free(o->path);
-  g_free(o->after);
-  g_free(o->machine);
-  g_free(o->addr);
-  g_free(o->name);
-  g_free(o->type);
-  g_free(o->zone);
-  if (o->names)
-    g_ptr_array_unref(o->names);
-  g_free(o);
-}
-
-FkOut *fk_out(FkController *c, FkOutKind kind) {
-  FkOut *o = g_new0(FkOut, 1);
-  o->kind = kind;
-  g_queue_push_tail(c->outs, o);
-  return o;
-}
+/* ------------------------------------------------------------------ shares, and whether it serves */
 
 FkOut *fk_controller_next(FkController *c) { return g_queue_pop_head(c->outs); }
 
@@ -100,56 +13,13 @@
 
 FkMeter *fk_controller_meter(FkController *c) { return &c->meter; }
 
-gboolean fk_ready(FkController *c) { return c->sync == FK_SYNC_READY; }
-
-gboolean fk_alive(FkController *c, const char *node) {
-  return node && g_hash_table_contains(c->view->nodes, node);
-}
-
-gboolean fk_spec_long(FkController *c, const FkSpec *s) {
-  return s->shape != FK_SHAPE_ARRAY || s->estimate_s >= c->settings->tuning.cutoff_s;
-}
-
-/* Does it with its processor time charged to that purpose. */
-void fk_metered(FkController *c, FkCost what, void (*fn)(FkController *)) {
-  FkCost before = fk_meter_enter(&c->meter, what);
-  fn(c);
-  fk_meter_leave(&c->meter, before);
-}
-
-guint fk_controllers(FkController *c) {
-  guint all = c->settings->peers->len + 1;
-  return fk_ready(c) ? CLAMP(g_hash_table_size(c->view->nodes), 1, all) : all;
-}
-
 void fk_controller_room(FkController *c, double writes) { c->write_room = writes; }
 
 double fk_controller_share(FkController *c) { return 1.0 / fk_controllers(c); }
 
-/* The leader writes for the services of all: it has two parts, and as many as all the others together while
- * services wait. Everybody counts them in the same view, so that the parts make up the whole. */
-#define SERVICES_MANY 4
+double fk_controller_write_share(FkController *c) { return fk_write_share(c); }
 
-gboolean fk_services_first(FkController *c) { return c->services_waiting >= SERVICES_MANY; }
-
-double fk_controller_write_share(FkController *c) {
-  guint n = fk_controllers(c);
-  double leader = fk_services_first(c) ? MAX(2, n - 1) : 2;
-  return (c->leading ? leader : 1.0) / (n - 1 + leader);
-}
-
-gboolean fk_controller_up(FkController *c, FkTime now) {
-  /* When the store answers others and not us, users are better served by them. When it answers nobody, taking
-   * ourselves out would only make the return slower. */
-  double without = fk_time_between(c->store_ok, now);
-  gboolean alone = without > ALONE_S && fk_time_between(c->store_ok, c->peer_store_ok) > 1 &&
-                   fk_time_between(c->peer_store_ok, now) < 5;
-  /* Without the store and without any other controller it is we who are cut off, whoever else still reaches
-   * us: every question would hear 503. */
-  gboolean cut_off = c->settings->peers->len && without > CUT_OFF_S &&
-                     fk_time_between(c->peer_heard, now) > CUT_OFF_S - FK_PEER_AFTER_S;
-  return fk_ready(c) && g_hash_table_size(c->types) > 0 && !alone && !cut_off;
-}
+gboolean fk_controller_up(FkController *c, FkTime now) { return fk_serves(c, now); }
 
 /* ------------------------------------------------------------------ life */
 
@@ -293,7 +163,7 @@
   fk_metered(c, FK_COST_USERS, fk_users_verify);
   fk_metered(c, FK_COST_USERS, fk_chains_tick);
   fk_users_tell_waiting(c);
-  fk_proof_tick(c);
+  fk_proof_tick(c, fk_users_wait_for(c));
   c->view->now = now;
   fk_view_rate_services(c->view);
   fk_view_review_doubts(c->view);
@@ -307,3 +177,25 @@
   fk_metered(c, FK_COST_CLAIMS, fk_quota_tick);
   fk_metered(c, FK_COST_LAUNCHES, fk_place);
 }
+
+/* What has changed is acted on at once. */
+void fk_controller_watched(FkController *c, FkTime now, FkOutcome o, GPtrArray *events, FkRev epoch,
+                           FkTime sent) {
+  c->now = now;
+  fk_session_watched(c, o, events, epoch, sent);
+  if (o != FK_OK || !fk_ready(c))
+    return;
+  fk_metered(c, FK_COST_CLAIMS, fk_claims_tick);
+  fk_metered(c, FK_COST_HOMES, fk_homes_view_changed);
+  fk_metered(c, FK_COST_HOMES, fk_ends_tick);
+  fk_metered(c, FK_COST_LAUNCHES, fk_place);
+  fk_metered(c, FK_COST_STOPS, fk_leader_act);
+}
+
+void fk_controller_peer(FkController *c, FkTime now, const char *peer, const char *life, FkRev seen,
+                        FkRev applied, double store_age_s, FkTime sent) {
+  c->now = c->peer_heard = now;
+  fk_tell_applied(c->tell, peer, applied);
+  fk_users_tell_waiting(c);
+  fk_proof_peer(c, peer, life, seen, store_age_s, sent);
+}
--- a/src/core/long.c
+++ b/src/core/long.c
@@ -2,6 +2,7 @@
  * barred; and the other controllers leave it the room that it would take. */
 #include "core/batch.h"
 #include "core/overdue.h"
+#include "core/rooms.h"
 #include "core/turn.h"
 
 #define GANG_LAUNCH_S 8.0 /* all transactions of one gang's launch */
--- /dev/null
+++ b/src/core/messages.c
@@ -0,0 +1,77 @@
+#include "core/messages.h"
+
+static void task_report_free(gpointer p) {
+  FkTaskReport *t = p;
+  g_free(t->job);
+  g_free(t);
+}
+
+FkReport *fk_report_new(void) {
+  FkReport *r = g_new0(FkReport, 1);
+  r->tasks = g_ptr_array_new_with_free_func(task_report_free);
+  r->notice_s = -1;
+  return r;
+}
+
+void fk_report_free(FkReport *r) {
+  if (!r)
+    return;
+  g_free(r->machine);
+  g_free(r->addr);
+  g_free(r->type);
+  g_free(r->zone);
+  g_ptr_array_unref(r->tasks);
+  g_free(r);
+}
+
+void fk_type_free(gpointer p) {
+  FkType *t = p;
+  g_free(t->name);
+  g_strfreev(t->zones);
+  g_free(t);
+}
+
+void fk_listed_free(gpointer p) {
+  FkListed *l = p;
+  g_free(l->id);
+  g_free(l->addr);
+  g_free(l->type);
+  g_free(l->zone);
+  g_free(l);
+}
+
+FkOut *fk_out_ref(FkOut *o) {
+  o->shared++;
+  return o;
+}
+
+void fk_out_free(FkOut *o) {
+  if (!o || o->shared--)
+    return;
+  g_free(o->job);
+  if (o->orders)
+    g_ptr_array_unref(o->orders);
+  g_free(o->report_to);
+  if (o->guards) {
+    for (guint i = 0; i < o->guards->len; i++)
+      g_free(g_array_index(o->guards, FkGuard, i).path);
+    g_array_unref(o->guards);
+  }
+  if (o->writes) {
+    for (guint i = 0; i < o->writes->len; i++) {
+      g_free(g_array_index(o->writes, FkWrite, i).path);
+      fk_record_free(g_array_index(o->writes, FkWrite, i).record);
+    }
+    g_array_unref(o->writes);
+  }
+  g_free(o->path);
+  g_free(o->after);
+  g_free(o->machine);
+  g_free(o->addr);
+  g_free(o->name);
+  g_free(o->type);
+  g_free(o->zone);
+  if (o->names)
+    g_ptr_array_unref(o->names);
+  g_free(o);
+}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -30,17 +30,6 @@
     fk_waits_add(&c->waits, &call->waits);
 }
 
-GPtrArray *fk_usable_machines(FkController *c) {
-  GPtrArray *all = g_ptr_array_new();
-  GHashTableIter it;
-  gpointer p;
-  g_hash_table_iter_init(&it, c->view->machines);
-  while (g_hash_table_iter_next(&it, NULL, &p))
-    if (fk_machine_usable(c, p))
-      g_ptr_array_add(all, p);
-  return all;
-}
-
 /* ------------------------------------------------------------------ */
 
 static void fenced(FkController *c, gpointer data, FkOutcome o, FkRev epoch, GPtrArray *failed) {
--- a/src/core/proof.c
+++ b/src/core/proof.c
@@ -1,4 +1,5 @@
 /* Proof that our view is current though the store can't be reached, and what the other controllers know. */
+#include "core/controller.h"
 #include "core/internal.h"
 
 #define PEER_EVERY_S 1.0
@@ -16,11 +17,8 @@
  * don't know of: every other controller, in the life that our view knows, has seen no later revision than our
  * view has. A controller that started anew proves nothing: its last life may have told a user of a
  * cancellation. */
-void fk_controller_peer(FkController *c, FkTime now, const char *peer, const char *life, FkRev seen,
-                        FkRev applied, double store_age_s, FkTime sent) {
-  c->now = c->peer_heard = now;
-  fk_tell_applied(c->tell, peer, applied);
-  fk_users_tell_waiting(c);
+void fk_proof_peer(FkController *c, const char *peer, const char *life, FkRev seen, double store_age_s,
+                   FkTime sent) {
   FkTime ok = fk_time_add(sent, -store_age_s);
   if (ok.us > c->peer_store_ok.us)
     c->peer_store_ok = ok;
@@ -45,11 +43,10 @@
   return proof;
 }
 
-void fk_proof_tick(FkController *c) {
+void fk_proof_tick(FkController *c, FkRev needed) {
   gboolean behind = fk_time_between(c->confirmed, c->now) >= FK_PEER_AFTER_S;
   if (!fk_time_reached(c->now, c->peer_next) || (!behind && g_queue_is_empty(c->telling)))
     return;
-  FkRev needed = fk_users_wait_for(c);
   c->peer_next = fk_time_add(c->now, needed.n ? TELL_EVERY_S : PEER_EVERY_S);
   for (guint i = 0; i < c->settings->peers->len; i++) {
     FkPeer *p = c->settings->peers->pdata[i];
--- a/src/core/rooms.c
+++ b/src/core/rooms.c
@@ -31,9 +31,9 @@
   fk_capacity_clear(r->ours);
 }
 
-void fk_rooms_drop(FkRooms *r, FkMachine *m) {
-  fk_capacity_remove(r->all, m);
-  fk_capacity_remove(r->ours, m);
+static void drop(FkRooms *r, gpointer machine) {
+  fk_capacity_remove(r->all, machine);
+  fk_capacity_remove(r->ours, machine);
 }
 
 /* FALSE: its type isn't known yet, so that it must be looked at again. */
@@ -41,7 +41,7 @@
   const FkType *t = fk_type_of(c, m);
   c->rooms->looked_at++;
   if (!m->rec || !t) {
-    fk_rooms_drop(c->rooms, m);
+    drop(c->rooms, m);
     return !m->rec;
   }
   fk_capacity_put(c->rooms->all, m, t->cpus - m->cpus);
@@ -53,6 +53,9 @@
 }
 
 void fk_rooms_refresh(FkController *c) {
+  for (guint i = 0; i < c->view->room_dropped->len; i++)
+    drop(c->rooms, c->view->room_dropped->pdata[i]);
+  g_ptr_array_set_size(c->view->room_dropped, 0);
   g_autoptr(GHashTable) changed = c->view->room_touched;
   c->view->room_touched = g_hash_table_new(g_str_hash, g_str_equal);
   GHashTableIter it;
@@ -102,3 +105,14 @@
 }
 
 guint64 fk_rooms_looked_at(const FkRooms *r) { return r->looked_at; }
+
+GPtrArray *fk_usable_machines(FkController *c) {
+  GPtrArray *all = g_ptr_array_new();
+  GHashTableIter it;
+  gpointer p;
+  g_hash_table_iter_init(&it, c->view->machines);
+  while (g_hash_table_iter_next(&it, NULL, &p))
+    if (fk_machine_usable(c, p))
+      g_ptr_array_add(all, p);
+  return all;
+}
--- a/src/core/rooms.h
+++ b/src/core/rooms.h
@@ -6,12 +6,12 @@
 void fk_rooms_free(FkRooms *r);
 /* The view is read anew. */
 void fk_rooms_forget(FkRooms *r);
-/* The view drops the machine. */
-void fk_rooms_drop(FkRooms *r, FkMachine *m);
 /* Takes over what has changed in the view since the last time. */
 void fk_rooms_refresh(FkController *c);
 /* Usable machines with room for that much, FkMachine: those of this home, or of all. */
 GPtrArray *fk_rooms_open(FkController *c, gboolean ours, double cpus, double mem_gb);
+/* All usable machines, FkMachine, with or without room. */
+GPtrArray *fk_usable_machines(FkController *c);
 /* All machines of this home, FkMachine, usable or not; borrowed until the next refresh. */
 const GPtrArray *fk_rooms_ours(FkController *c);
 /* Room on spot machines that may be used, in CPUs, as far as it is needed. */
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -15,7 +15,7 @@
 double fk_pace_s(FkController *c, guint writes, double share) {
   double pace = writes * (double)fk_controllers(c) / (share * c->settings->state_write_rps);
   /* while the budget is hardly used there is nothing to save for */
-  gboolean plenty = c->write_room > 0.4 * fk_controller_write_share(c) * c->settings->state_write_rps;
+  gboolean plenty = c->write_room > 0.4 * fk_write_share(c) * c->settings->state_write_rps;
   return plenty ? MIN(pace, UNHURRIED_S) : pace;
 }
 
--- a/src/core/session.c
+++ b/src/core/session.c
@@ -1,4 +1,5 @@
 /* The session with the store: its hold, the list that a start reads, the watch that moves the view. */
+#include "core/controller.h"
 #include "core/internal.h"
 #include "core/rooms.h"
 #include "core/turn.h"
@@ -96,9 +97,7 @@
          g_hash_table_size(c->view->jobs), g_hash_table_size(c->view->machines));
 }
 
-void fk_controller_watched(FkController *c, FkTime now, FkOutcome o, GPtrArray *events, FkRev epoch,
-                           FkTime sent) {
-  c->now = now;
+void fk_session_watched(FkController *c, FkOutcome o, GPtrArray *events, FkRev epoch, FkTime sent) {
   c->watching = FALSE;
   fk_store_answered(c, o);
   if (c->sync != FK_SYNC_READY && c->sync != FK_SYNC_CATCHING_UP)
@@ -127,13 +126,6 @@
   /* A short pause lets several changes come in one answer: the watch's share of the request budget stays
    * small. */
   watch_next(c, events->len ? MAX(0.02, fk_controllers(c) / (WATCH_SHARE * c->settings->state_rps)) : 0);
-  if (fk_ready(c)) {
-    fk_metered(c, FK_COST_CLAIMS, fk_claims_tick);
-    fk_metered(c, FK_COST_HOMES, fk_homes_view_changed);
-    fk_metered(c, FK_COST_HOMES, fk_ends_tick);
-    fk_metered(c, FK_COST_LAUNCHES, fk_place);
-    fk_metered(c, FK_COST_STOPS, fk_leader_act);
-  }
 }
 
 void fk_controller_held(FkController *c, FkTime now, FkOutcome o, FkRev hold, FkTime sent) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -32,3 +32,6 @@
 static inline double fk_time_between(FkTime from, FkTime to) { return (double)(to.us - from.us) / 1e6; }
 static inline gboolean fk_time_reached(FkTime now, FkTime when) { return now.us >= when.us; }
 static inline gboolean fk_rev_eq(FkRev a, FkRev b) { return a.n == b.n; }
+
+/* The core's state; only its own files see into it. */
+typedef struct FkController FkController;
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -1,6 +1,7 @@
 /* Users' questions, and when they are answered. */
 #include <string.h>
 
+#include "core/controller.h"
 #include "core/internal.h"
 #include "teams/limits.h"
 
@@ -98,7 +99,7 @@
   }
   g_queue_push_tail(c->telling, a);
   fk_users_tell_waiting(c);
-  fk_proof_tick(c);
+  fk_proof_tick(c, fk_users_wait_for(c));
 }
 
 static gboolean answered_from_final(FkController *c, Ask *a) {
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -152,7 +152,6 @@
 }
 
 /* core/home.c */
-void fk_home_free(FkHome *h);
 
 static void machine_free(gpointer p) {
   FkMachine *m = p;
@@ -162,7 +161,8 @@
   fk_machine_rec_free(m->joining);
   g_array_unref(m->books);
   g_hash_table_unref(m->images);
-  fk_home_free(m->home);
+  if (m->home)
+    m->home_free(m->home);
   if (m->probes)
     g_ptr_array_unref(m->probes);
   g_free(m);
@@ -199,6 +199,13 @@
   g_free(n);
 }
 
+void fk_view_touch_job(FkView *v, FkJob *j) { g_hash_table_add(v->jobs_touched, fk_job_ref(j)); }
+
+void fk_view_touch(FkView *v, FkMachine *m) {
+  g_hash_table_add(v->touched, (gpointer)m->id);
+  g_hash_table_add(v->room_touched, (gpointer)m->id);
+}
+
 /* All that the job needs is done, or an ancestor of it is cancelled. */
 static void dependency_changed(gpointer data, const char *id, gboolean cancelled) {
   FkView *v = data;
@@ -241,6 +248,7 @@
   v->deps = fk_deps_new(dependency_changed, v);
   v->touched = g_hash_table_new(g_str_hash, g_str_equal);
   v->room_touched = g_hash_table_new(g_str_hash, g_str_equal);
+  v->room_dropped = g_ptr_array_new();
   v->job_list = g_ptr_array_new();
   v->jobs_touched = g_hash_table_new_full(g_direct_hash, g_direct_equal, fk_job_unref, NULL);
   return v;
@@ -265,6 +273,7 @@
   fk_served_clear(v->served);
   g_hash_table_remove_all(v->touched);
   g_hash_table_remove_all(v->room_touched);
+  g_ptr_array_set_size(v->room_dropped, 0);
   g_clear_pointer(&v->leader, g_free);
   g_clear_pointer(&v->leader_life, g_free);
   v->leader_rev.n = 0;
@@ -294,6 +303,7 @@
   fk_served_free(v->served);
   g_hash_table_unref(v->touched);
   g_hash_table_unref(v->room_touched);
+  g_ptr_array_unref(v->room_dropped);
   g_hash_table_unref(v->jobs_touched);
   g_ptr_array_unref(v->job_list);
   fk_spec_unref(v->service);
@@ -322,6 +332,7 @@
   fk_blame_machine_gone(v->blame, m->id);
   g_hash_table_remove(v->touched, m->id);
   g_hash_table_remove(v->room_touched, m->id);
+  g_ptr_array_add(v->room_dropped, m);
   g_hash_table_remove(v->machines, m->id);
 }
 
@@ -348,7 +359,7 @@
   return g;
 }
 
-static void join_group(FkMachine *m, FkGroup *g) {
+void fk_view_join_group(FkMachine *m, FkGroup *g) {
   if (m->group == g)
     return;
   if (m->group)
@@ -361,7 +372,7 @@
   if (m->group)
     return;
   g_autofree char *id = fk_group_id(zone, m->id);
-  join_group(m, fk_view_group(v, id));
+  fk_view_join_group(m, fk_view_group(v, id));
 }
 
 FkRev fk_view_fence(FkView *v, const char *node) {
@@ -379,89 +390,6 @@
   return t;
 }
 
-static void set_group(FkView *v, const char *id, FkRecord *r, FkRev rev) {
-  FkGroup *g = fk_view_group(v, id);
-  if (g->rev.n >= rev.n)
-    return;
-  g_clear_pointer(&g->home, g_free);
-  g_clear_pointer(&g->life, g_free);
-  g->rev = r ? rev : (FkRev){0};
-  if (r) {
-    g->home = g_strdup(r->node);
-    g->life = g_strdup(r->life);
-  }
-  for (guint i = 0; i < g->machines->len; i++)
-    fk_view_touch(v, g->machines->pdata[i]);
-}
-
-char *fk_key_page(const char *group, guint part) {
-  g_autofree char *id = part ? g_strdup_printf("%s+%u", group, part) : g_strdup(group);
-  return fk_key(FK_KEY_PAGE, id);
-}
-
-guint fk_machine_rec_bytes(const FkMachineRec *m) {
-  return (guint)(strlen(m->id) + strlen(m->addr) + strlen(m->type) + 50);
-}
-
-/* A machine that a part of its page no longer has, and no other has now, is proven gone: its bookings have
- * ended before. One that moves is in its new part by the same transaction. */
-static void set_page(FkView *v, const char *id, FkRecord *r, FkRev rev) {
-  const char *plus = strrchr(id, '+');
-  g_autofree char *group = plus ? g_strndup(id, plus - id) : g_strdup(id);
-  guint64 part = plus ? g_ascii_strtoull(plus + 1, NULL, 10) : 0;
-  if (part >= FK_PARTS)
-    return;
-  FkGroup *g = fk_view_group(v, group);
-  if (g->page_rev[part].n >= rev.n)
-    return;
-  g->page_rev[part] = rev;
-  guint bytes = FK_PAGE_BYTES;
-  for (guint i = 0; r && i < r->members->len; i++) {
-    FkMachineRec *rec = r->members->pdata[i];
-    FkMachine *m = fk_view_machine_ensure(v, rec->id);
-    join_group(m, g);
-    m->page_rev = rev;
-    m->part = (guint)part;
-    bytes += fk_machine_rec_bytes(rec);
-    gboolean fresh = !m->rec, changed = m->mark != rec->mark;
-    if (changed) {
-      m->mark = rec->mark;
-      m->notice_s = rec->notice_s;
-      m->mark_seen = v->now;
-    }
-    if (fresh) {
-      m->rec = fk_machine_rec_copy(rec);
-      m->rec_seen = m->idle_since = v->now;
-    }
-    if (fresh || changed)
-      fk_view_touch(v, m);
-  }
-  g->oversized |= bytes > FK_PAGE_LIMIT(v->settings->value_kb);
-  for (guint i = 0; i < g->machines->len; i++) {
-    FkMachine *m = g->machines->pdata[i];
-    if (m->part != part || m->page_rev.n == rev.n || !m->rec)
-      continue;
-    g_clear_pointer(&m->rec, fk_machine_rec_free);
-    m->mark = NULL;
-    m->type = NULL;
-    fk_view_touch(v, m);
-  }
-}
-
-static void set_team(FkView *v, const char *id, FkRecord *r, FkRev rev) {
-  FkTeamUse *t = fk_view_team(v, id);
-  t->rev = r ? rev : (FkRev){0};
-  t->changed = v->now;
-  g_clear_pointer(&t->split, g_hash_table_unref);
-  if (!r)
-    return;
-  t->split = g_steal_pointer(&r->split);
-  if (r->node) {
-    g_free(t->was_short);
-    t->was_short = g_steal_pointer(&r->node);
-  }
-}
-
 void fk_view_remember_final(FkView *v, const char *id, FkPhase phase, guint32 tasks, gint64 at_ms) {
   fk_deps_note(v->deps, id, phase == FK_PHASE_DONE ? FK_DEP_DONE : FK_DEP_CANCELLED, at_ms);
   if (g_hash_table_contains(v->finals, id))
@@ -487,92 +415,13 @@
   return FALSE;
 }
 
-static void apply_small(FkView *v, FkKeyKind kind, const char *id, FkRecord *r, FkRev rev) {
-  switch (kind) {
-  case FK_KEY_NODE:
-    if (r) {
-      FkNode *n = g_new0(FkNode, 1);
-      n->name = g_strdup(id);
-      n->life = g_strdup(r->life);
-      n->rev = rev;
-      g_hash_table_replace(v->nodes, n->name, n);
-    } else {
-      g_hash_table_remove(v->nodes, id);
-    }
-    break;
-  case FK_KEY_TEAM:
-    set_team(v, id, r, rev);
-    break;
-  case FK_KEY_FENCE:
-    if (r) {
-      FkFence f = {rev, r->chains};
-      g_hash_table_replace(v->fences, g_strdup(id), g_memdup2(&f, sizeof f));
-    } else
-      g_hash_table_remove(v->fences, id);
-    break;
-  case FK_KEY_LEADER:
-    g_clear_pointer(&v->leader, g_free);
-    g_clear_pointer(&v->leader_life, g_free);
-    v->leader_rev.n = 0;
-    if (r) {
-      v->leader = g_strdup(r->node);
-      v->leader_life = g_strdup(r->life);
-      v->leader_rev = rev;
-    }
-    break;
-  case FK_KEY_WAITS:
-    if (r) {
-      FkWaits *w = g_new0(FkWaits, 1);
-      *w = r->waits;
-      g_hash_table_replace(v->waits, g_strdup(id), w);
-    } else {
-      g_hash_table_remove(v->waits, id);
-    }
-    break;
-  default:
-    break;
-  }
+char *fk_key_page(const char *group, guint part) {
+  g_autofree char *id = part ? g_strdup_printf("%s+%u", group, part) : g_strdup(group);
+  return fk_key(FK_KEY_PAGE, id);
 }
 
-void fk_view_apply(FkView *v, const char *path, FkRecord *record, FkRev rev) {
-  g_autoptr(FkRecord) r = record;
-  g_autofree char *id = NULL;
-  guint32 chunk = 0;
-  FkKeyKind kind = fk_key_parse(path, &id, &chunk);
-  if (r && r->kind != kind)
-    return;
-  switch (kind) {
-  case FK_KEY_OTHER:
-    break;
-  case FK_KEY_JOB:
-    fk_view_set_job(v, id, r, rev);
-    break;
-  case FK_KEY_CHUNK: {
-    FkJob *j = fk_view_job(v, id);
-    if (j)
-      fk_view_set_chunk(v, j, chunk, r ? g_steal_pointer(&r->chunk) : NULL, rev);
-    if (r && !j)
-      g_hash_table_replace(v->orphans, g_strdup(path), g_memdup2(&rev, sizeof rev));
-    else
-      g_hash_table_remove(v->orphans, path); /* the job has come since, or the chunk is gone */
-    break;
-  }
-  case FK_KEY_GROUP:
-    set_group(v, id, r, rev);
-    break;
-  case FK_KEY_PAGE:
-    set_page(v, id, r, rev);
-    break;
-  case FK_KEY_ENDS:
-    fk_view_set_ends(v, id, r, rev);
-    break;
-  case FK_KEY_FINAL:
-    if (r)
-      fk_view_remember_final(v, id, r->phase, r->tasks, r->at_ms);
-    break;
-  default:
-    apply_small(v, kind, id, r, rev);
-  }
+guint fk_machine_rec_bytes(const FkMachineRec *m) {
+  return (guint)(strlen(m->id) + strlen(m->addr) + strlen(m->type) + 50);
 }
 
 gint64 fk_job_own_due(const FkJob *j) {
--- a/src/core/view.h
+++ b/src/core/view.h
@@ -221,10 +221,11 @@
   double notice_s;
   FkTime idle_since;
   gboolean barred;
-  FkTime full_until;  /* it refused a start: nothing new for a while */
-  FkHome *home;       /* this controller's dealings with it, if it is home */
-  GHashTable *images; /* images started there lately (interned) */
-  GPtrArray *probes;  /* FkJob, with a reference: short jobs that may start here; NULL: none yet */
+  FkTime full_until;        /* it refused a start: nothing new for a while */
+  FkHome *home;             /* this controller's dealings with it, if it is home */
+  GDestroyNotify home_free; /* of `home` */
+  GHashTable *images;       /* images started there lately (interned) */
+  GPtrArray *probes;        /* FkJob, with a reference: short jobs that may start here; NULL: none yet */
 } FkMachine;
 
 typedef struct {
@@ -283,6 +284,7 @@
   char *leader, *leader_life;
   FkRev leader_rev;
   GHashTable *touched;      /* machines whose bookings changed since the last look */
+  GPtrArray *room_dropped;  /* machines that are no more, for the index of rooms: names, not to be followed */
   GHashTable *room_touched; /* the same, for the index of rooms */
   GPtrArray *job_list;      /* FkJob: those of `jobs`, in no order */
   GHashTable *jobs_touched; /* FkJob, with a reference: whose waiting may have changed since the last look */
--- a/src/core/view_jobs.c
+++ b/src/core/view_jobs.c
@@ -3,13 +3,6 @@
 
 #include <string.h>
 
-void fk_view_touch_job(FkView *v, FkJob *j) { g_hash_table_add(v->jobs_touched, fk_job_ref(j)); }
-
-void fk_view_touch(FkView *v, FkMachine *m) {
-  g_hash_table_add(v->touched, (gpointer)m->id);
-  g_hash_table_add(v->room_touched, (gpointer)m->id);
-}
-
 static void list_job(FkView *v, FkJob *j) {
   j->listed = v->job_list->len;
   g_ptr_array_add(v->job_list, j);
--- a/src/lab/agenda.h
+++ b/src/lab/agenda.h
@@ -1,5 +1,6 @@
 /* What is to happen later, in the order of its time: the clock of the simulated world, and the one timer of a
- * process that plays thousands of workers. Times are microseconds; of equal ones the first added goes first. */
+ * process that plays thousands of workers. Times are microseconds; of equal ones the first added goes first.
+ */
 #pragma once
 #include <glib.h>
 
--- a/src/lab/check_txn.h
+++ b/src/lab/check_txn.h
@@ -1,5 +1,5 @@
 #pragma once
-#include "core/controller.h"
+#include "core/messages.h"
 
 /* NULL, or what is written without a guard that it needs (to be freed). */
 char *check_txn(const FkOut *t);
--- a/src/lab/worker_model.h
+++ b/src/lab/worker_model.h
@@ -2,7 +2,7 @@
  * commands, as PROTOCOL has them ("Workers -> controller nodes"). The simulated world and the hollow workers
  * that listen on loopback both own such models. Times are microseconds of the owner's clock. */
 #pragma once
-#include "core/controller.h"
+#include "core/messages.h"
 
 typedef struct {
   char *job;
--- a/src/wire/cloud.h
+++ b/src/wire/cloud.h
@@ -1,6 +1,6 @@
 /* The cloud's interface. */
 #pragma once
-#include "core/controller.h"
+#include "core/messages.h"
 #include "wire/json.h"
 
 GPtrArray *fk_cloud_parse_types(const char *body, gsize len);                    /* FkType */
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -1,6 +1,6 @@
 /* The state service's interface, and what our records look like in it. */
 #pragma once
-#include "core/controller.h"
+#include "core/messages.h"
 #include "wire/json.h"
 
 cJSON *fk_store_record_to_json(const FkRecord *r);
--- a/src/wire/user.h
+++ b/src/wire/user.h
@@ -1,6 +1,6 @@
 /* The users' interface. Strict: what is malformed gets a 400. */
 #pragma once
-#include "core/controller.h"
+#include "core/messages.h"
 #include "wire/json.h"
 
 /* NULL and a reason when the submission is malformed. */
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -1,6 +1,6 @@
 /* The workers' interface: reports, answers and commands. */
 #pragma once
-#include "core/controller.h"
+#include "core/messages.h"
 #include "wire/json.h"
 
 FkReport *fk_worker_parse_report(const char *body, gsize len); /* NULL: malformed */
--- a/test/rig.h
+++ b/test/rig.h
@@ -1,5 +1,6 @@
 /* One controller core, fed by hand. */
 #pragma once
+#include "core/controller.h"
 #include "core/internal.h"
 
 typedef struct {
