Urgent work waits out a short pause

Change: only a pause of over 0.7 s is gone before; the rest of the 1.8 s is for the transaction and the image.

--- a/src/core/place.c
+++ b/src/core/place.c
@@ -74,13 +74,15 @@
 }
 
 #define URGENT_EVERY_S 0.2
+#define URGENT_PATIENCE_S                                                                                    \
+  0.7 /* a shorter pause is waited out: a launch of its own costs writes that bulk work shares */
 
 /* The pace saves the store's writes for what comes next; urgent work is what they are saved for. It goes
  * before its time, a few times a second, and what it writes is added to the pause of the others: behind a
  * launch of twenty writes it would wait for up to 3 s. */
 static gboolean goes_before_its_time(FkController *c) {
-  return !fk_time_reached(c->now, c->launch_after) && fk_time_reached(c->now, c->urgent_after) &&
-         fk_turn_urgent_waits(c);
+  return fk_time_between(c->now, c->launch_after) > URGENT_PATIENCE_S &&
+         fk_time_reached(c->now, c->urgent_after) && fk_turn_urgent_waits(c);
 }
 
 /* Why nothing can be launched now, or NULL. */
