Idle spot machines don't hide ordinary ones from jobs that may use these alone

Sampling is cut to the machines that should have the work, sixteen at the least, spot first: sixteen idle spot machines filled it, and a job that may not use them waited beside twelve ordinary ones. Change: machines that some waiting job may not use don't count as enough; where jobs are bound to a zone or to types nothing is cut.

--- a/src/core/short.c
+++ b/src/core/short.c
@@ -30,6 +30,10 @@
   return (g_str_hash(j->spec->id) + turn) % n == before;
 }
 
+static gboolean is_ours_and_short(FkController *c, const FkJob *j) {
+  return !fk_spec_long(c, j->spec) && short_is_ours(c, j);
+}
+
 /* A machine's probes are a small array that refers to the jobs: looking through it costs a few comparisons of
  * pointers, and what is over is found without a look-up. */
 static gboolean has_probe(const GPtrArray *probes, const FkJob *j) {
@@ -160,27 +164,50 @@
   return g_strcmp0(x->id, y->id);
 }
 
-/* Where there is room for much more than what waits, only the machines that should have it are sampled,
- * enough for every probe and half as many again: the others run empty, and can be returned. */
-static void keep_preferred(FkController *c, GPtrArray *open, GPtrArray *jobs) {
-  double probes = 0;
-  const FkSpec *largest = NULL;
+/* What our waiting short jobs want of the machines that are sampled. */
+typedef struct {
+  double probes;
+  const FkSpec *largest;
+  gboolean bound;    /* some may use one zone or some types alone */
+  gboolean ordinary; /* some may not use spot machines */
+} Sampling;
+
+static Sampling sampling_for(FkController *c, GPtrArray *jobs) {
+  Sampling wanted = {0};
   for (guint i = 0; i < jobs->len; i++) {
     const FkJob *j = jobs->pdata[i];
-    if (fk_spec_long(c, j->spec) || !short_is_ours(c, j))
+    if (!is_ours_and_short(c, j))
       continue;
-    probes += fk_job_waiting(j) * c->settings->tuning.probe_ratio;
-    if (!largest || j->spec->cpus > largest->cpus)
-      largest = j->spec;
+    wanted.probes += fk_job_waiting(j) * c->settings->tuning.probe_ratio;
+    wanted.bound |= j->spec->zone || j->spec->types || j->spec->one_zone || j->spec->spread;
+    wanted.ordinary |= !j->spec->spot;
+    if (!wanted.largest || j->spec->cpus > wanted.largest->cpus)
+      wanted.largest = j->spec;
   }
-  guint keep = 0;
-  for (double slots = 0; largest && keep < open->len && (keep < SAMPLED_LEAST || slots < SAMPLED * probes);
-       keep++) {
+  return wanted;
+}
+
+/* Where there is room for much more than what waits, only the machines that should have it are sampled,
+ * enough for every probe and half as many again: the others run empty, and can be returned. Machines that
+ * some of the jobs may not use don't count as enough: sixteen idle spot machines came first, and a job that
+ * may use ordinary ones alone waited for 90 s beside twelve of these (meeting_slow_store). */
+static void keep_preferred(FkController *c, GPtrArray *open, GPtrArray *jobs) {
+  const Sampling wanted = sampling_for(c, jobs);
+  if (!wanted.largest || wanted.bound)
+    return;
+  guint keep = 0, counted = 0;
+  double slots = 0;
+  for (; keep < open->len && (counted < SAMPLED_LEAST || slots < SAMPLED * wanted.probes); keep++) {
     const FkMachine *m = open->pdata[keep];
     const FkType *t = fk_type_of(c, m);
-    slots += t && largest->cpus > 0 ? floor((t->cpus - m->cpus - m->pend_cpus) / largest->cpus + FK_EPS) : 1;
+    if (m->rec->spot && wanted.ordinary)
+      continue;
+    counted++;
+    slots += t && wanted.largest->cpus > 0
+                 ? floor((t->cpus - m->cpus - m->pend_cpus) / wanted.largest->cpus + FK_EPS)
+                 : 1;
   }
-  if (largest && keep < open->len)
+  if (keep < open->len)
     g_ptr_array_set_size(open, (gint)keep);
 }
 
@@ -217,10 +244,6 @@
 
 #define PROBE_EVERY_S 1.0 /* a job that waits gets further probes, on full machines too */
 
-static gboolean is_ours_and_short(FkController *c, const FkJob *j) {
-  return !fk_spec_long(c, j->spec) && short_is_ours(c, j);
-}
-
 static void probe_open(FkController *c, GPtrArray *jobs, GPtrArray *open) {
   guint others = OPEN_DRAWS / DRAWS_FOR_OTHERS, first = OPEN_DRAWS - others, i = 0;
   for (; i < jobs->len && first; i++)
