Read again: one check of a worker's token and session; two members that nobody read

An answer to a report is taken as a command is, and renews the lease beside. The checker's region and the probes' second pointer were never read.

--- a/src/lab/scale/check_rules.c
+++ b/src/lab/scale/check_rules.c
@@ -16,7 +16,6 @@
 
 typedef struct {
   const FkScalePlan *plan;
-  guint region;
   GHashTable *jobs;  /* id -> Job; unknown ids have none */
   GHashTable *on;    /* "job/task" -> machine */
   GHashTable *teams; /* name -> double*: CPUs in use */
@@ -140,7 +139,7 @@
 }
 
 GPtrArray *fk_scale_check_rules(const FkScalePlan *p, guint region, const GArray *events) {
-  Check c = {.plan = p, .region = region, .limit = fk_scale_team_limit(p, region)};
+  Check c = {.plan = p, .limit = fk_scale_team_limit(p, region)};
   c.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
   c.on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c.teams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/lab/scale/processes.c
+++ b/src/lab/scale/processes.c
@@ -157,14 +157,8 @@
   }
 }
 
-typedef struct {
-  FkProcesses *processes;
-  Process *process;
-} Asked;
-
 static void up_answered(gpointer data, guint status, const char *body, gsize len) {
-  g_autofree Asked *a = data;
-  a->process->up |= status == 200;
+  ((Process *)data)->up |= status == 200;
 }
 
 static gboolean ask_up(gpointer data) {
@@ -180,10 +174,8 @@
       stop_for(ps, g_strdup_printf("%s didn't come up within %g s; see its log", x->name, UP_WITHIN_S));
       return G_SOURCE_REMOVE;
     }
-    Asked *a = g_new0(Asked, 1);
-    *a = (Asked){ps, x};
     g_autofree char *addr = fk_scale_user_addr(ps->plan, x->region, x->number);
-    fk_http_call(ps->http, "GET", addr, "/up", NULL, 1, up_answered, a);
+    fk_http_call(ps->http, "GET", addr, "/up", NULL, 1, up_answered, x);
   }
   return all ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
 }
--- a/src/lab/worker_model.c
+++ b/src/lab/worker_model.c
@@ -145,11 +145,9 @@
 
 gboolean fk_worker_model_answered(FkWorkerModel *w, const FkWorkerHooks *h, guint64 session, gint64 sent,
                                   FkToken token, const GPtrArray *orders) {
-  if (token.n < w->token || session != w->session)
+  if (!fk_worker_model_commanded(w, h, session, token, orders))
     return FALSE;
-  w->token = token.n;
   w->lease_base = sent;
-  fk_worker_model_execute(w, h, orders);
   return TRUE;
 }
 
