Review: an end written down late ends a later attempt, and a team exceeds its limit

A case of an independent review; nothing of the software changes. A controller's page of completions, held back by a cut of 4 s, says that a task is done. Meanwhile its machine was returned and the task started again. The page ends the new attempt, of whose end there is no proof, and the team's next job starts: 10 CPUs in use of 8.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -402,7 +402,7 @@
         super().__init__()
         self.types, self.record = types, record
         self.machines = {}  # name -> Worker
-        self.returned = set()
+        self.return_s = 0.0  # how long a return takes; until its end the machines go on
 
     async def answer(self, method, path, query, body):
         await asyncio.sleep(0.05)
@@ -411,6 +411,7 @@
         if path == "/machines" and method == "POST":
             return 503, {"error": "no capacity"}
         if path == "/machines/return":
+            await asyncio.sleep(self.return_s)
             for name in json.loads(body)["knotters"]:
                 worker = self.machines.pop(name, None)
                 if worker:
@@ -458,6 +459,8 @@
         self.shift, self.tally, self.baton = 1, 0, 0
         self.tasks, self.images = {}, {}
         self.up = True
+        self.awake = asyncio.Event()  # not set while the machine hangs
+        self.awake.set()
         self.change = asyncio.Event()
         self.born = self.lease_from = time.monotonic()
         self.baton_noted = 0.0
@@ -561,6 +564,7 @@
         if run is None:
             return
         cause = await run
+        await self.awake.wait()
         self.exit(task, cause)
 
     def exit(self, task, cause, stored=False):
@@ -594,7 +598,16 @@
             elif key in self.tasks and order["verb"] == "forget" and self.tasks[key].phase == "exited":
                 del self.tasks[key]
 
+    def hang(self):
+        self.world.record("%s hangs" % self.name)
+        self.awake.clear()
+
+    def resume(self):
+        self.world.record("%s goes on" % self.name)
+        self.awake.set()
+
     async def answer(self, method, path, query, body):
+        await self.awake.wait()
         if path == "/status":
             return 200, self.report()
         request = json.loads(body)
@@ -611,6 +624,7 @@
     async def lease_loop(self):
         while self.up:
             await asyncio.sleep(0.05)
+            await self.awake.wait()
             if time.monotonic() - self.lease_from > self.world.lease_s:
                 self.world.record("%s lease expires" % self.name)
                 self.kill_all("lease")
@@ -631,8 +645,12 @@
             await asyncio.sleep(max(0, 0.5 - (time.monotonic() - last)))
             self.change.clear()
             while self.up:
+                await self.awake.wait()
                 last, shift = time.monotonic(), self.shift
                 status, answer, _ = await call(node.address, "POST", "/hello", self.report(), 4.0)
+                await self.awake.wait()
+                if time.monotonic() - last > 4.0:
+                    status = 0
                 if status == 200:
                     baton = (answer or {}).get("baton")
                     if baton is not None and baton >= self.baton and shift == self.shift and self.up:
