--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -24,10 +25,14 @@
     return json.dumps(value, separators=(",", ":"))
 
 
-def free_ports(count):
+def end_with_parent():
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG: no controller outlives the script
+
+
+def free_ports(host, count):
     sockets = [socket.socket() for _ in range(count)]
     for s in sockets:
-        s.bind((HOST, 0))
+        s.bind((host, 0))
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
@@ -565,7 +570,8 @@
             return
         cause = await run
         await self.awake.wait()
-        self.exit(task, cause)
+        if task.on_machine:
+            self.exit(task, cause)
 
     def exit(self, task, cause, stored=False):
         task.phase, task.cause, task.stored = "exited", cause, stored
@@ -608,6 +614,8 @@
 
     async def answer(self, method, path, query, body):
         await self.awake.wait()
+        if not self.up:
+            raise ConnectionError("the machine is gone")
         if path == "/status":
             return 200, self.report()
         request = json.loads(body)
@@ -624,7 +632,6 @@
     async def lease_loop(self):
         while self.up:
             await asyncio.sleep(0.05)
-            await self.awake.wait()
             if time.monotonic() - self.lease_from > self.world.lease_s:
                 self.world.record("%s lease expires" % self.name)
                 self.kill_all("lease")
@@ -677,8 +684,10 @@
         self.world, self.name, self.zone = world, name, zone
         self.link = Link(world.store.address, world.record, name)
         self.process = None
-        serve, mesh = free_ports(2)
-        self.address, self.mesh = "%s:%d" % (HOST, serve), "%s:%d" % (HOST, mesh)
+        # a loopback address of its own: no connection outwards takes the port before the controller listens
+        host = "127.%d.%d.%d" % tuple(random.SystemRandom().randrange(1, 255) for _ in range(3))
+        serve, mesh = free_ports(host, 2)
+        self.address, self.mesh = "%s:%d" % (host, serve), "%s:%d" % (host, mesh)
 
     def settings(self):
         world = self.world
@@ -708,6 +717,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=log,
             stderr=log,
+            preexec_fn=end_with_parent,
             env=dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info")),
         )
         self.world.record("%s started" % self.name)
