--- a/review/4/case.py
+++ b/review/4/case.py
@@ -81,7 +81,9 @@
             platform.take(name)
     # One of the users whose service goes on withdraws it, as on any day: there is room for another on its machine.
     taken = set(names)
-    off = next(s["ref"] for s in specs if up(s["ref"]) and platform.on[f"{s['ref']}/0"][0][0].name not in taken)
+    off = next(
+        s["ref"] for s in specs if up(s["ref"]) and platform.on[f"{s['ref']}/0"][0][0].name not in taken
+    )
     for _ in range(20):
         status, _ = await platform.ask("knotter-0", "POST", f"/submissions/{off}/withdraw")
         if status == 200:
@@ -115,7 +117,9 @@
     down = [s["ref"] for s in rest if not up(s["ref"])]
     late = sorted(job for job, t in waited.items() if t > WAIT_S)
     record(f"{len(down)} of {len(rest)} services don't run: {down}")
-    record(f"room on one machine for over {WAIT_S:.0f} s: {sorted(k for k, t in since.items() if now() - t > WAIT_S)}")
+    record(
+        f"room on one machine for over {WAIT_S:.0f} s: {sorted(k for k, t in since.items() if now() - t > WAIT_S)}"
+    )
     if late:
         platform.breach("accepted work isn't run", f"{late} wait for over {WAIT_S:.0f} s")
     return 1 if platform.broken else 0
--- a/review/lib2/standins2.py
+++ b/review/lib2/standins2.py
@@ -94,8 +94,7 @@
                 close = fields.get("connection", "").lower() == "close"
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n"
-                    f"{'Connection: close' if close else 'Connection: keep-alive'}\r\n\r\n".encode()
-                    + text
+                    f"{'Connection: close' if close else 'Connection: keep-alive'}\r\n\r\n".encode() + text
                 )
                 await writer.drain()
                 if close:
@@ -122,8 +121,7 @@
             text = b"" if value is None else json.dumps(value).encode()
             writer.write(
                 f"{method} {path} HTTP/1.1\r\nHost: {HOST}:{port}\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode()
-                + text
+                f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n".encode() + text
             )
             first, fields, body = await read_message(reader)
             return int(first.split(" ")[1]), json.loads(body) if body else None
@@ -482,6 +480,8 @@
 
     async def handle(self, method, path, query, body):
         await self.resumed.wait()
+        if not self.alive:
+            return None
         if self.deaf:
             await asyncio.sleep(60)
             return None
