--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 WAIT_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
 MACHINES = 9  # "Up to about 32 machines"
 OFFER = ("paramo4", "guayaquil-puerto", False)
-TASKS = 40
+TASKS = 31
 
 
 def room(platform, worker, spec):
@@ -88,7 +88,7 @@
         guess_s=5.0,
     ):
         return 2
-    if not await platform.until(lambda: done(job) >= TASKS / 4, 15):
+    if not await platform.until(lambda: done(job) >= 8, 15):
         return 2
     record(f"{len(platform.machines)} machines are up, {done(job)} of {TASKS} tasks are done")
     spec = platform.specs[job]
@@ -97,7 +97,7 @@
         platform.on["run-000002/0"][0][0].stop("it stops with all that is on it")
     over, room_since, waited, asked = now(), {}, 0.0, 0.0
     limit = next(t["cpus_max"] for t in platform.deployment["teams"] if t["name"] == spec["crew"])
-    while now() < over + WAIT_S + 9.0:
+    while now() < over + WAIT_S + 13.0:
         await asyncio.sleep(0.5)
         waits = done(job) + up(job) < TASKS
         below = platform.cpus[spec["crew"]] + spec["cores"] <= limit
