--- a/review/lib2/standins2.py
+++ b/review/lib2/standins2.py
@@ -21,7 +21,9 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
 SERVICE = os.path.join(ROOT, "target", "flaxknot")
-HOST = "127.0.0.1"
+# A loopback address of this process alone: no other process, and no client's port, takes a port of the script while a
+# controller is away.
+HOST = "127.{}.{}.{}".format(*(1 + os.getpid() // n % 250 for n in (62500, 250, 1)))
 
 
 def now():
