--- a/review/lib2/standins2.py
+++ b/review/lib2/standins2.py
@@ -21,9 +21,12 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
 SERVICE = os.path.join(ROOT, "target", "flaxknot")
-# A loopback address of this process alone: no other process, and no client's port, takes a port of the script while a
-# controller is away.
-HOST = "127.{}.{}.{}".format(*(1 + os.getpid() // n % 250 for n in (62500, 250, 1)))
+# Loopback addresses of this process alone, one for the controllers and one for the stand-ins: nobody else takes the port
+# of a controller while it is away.
+NUMBER = os.getpid()
+HOST, STAND_INS = (
+    f"127.{first + NUMBER // 62500 % 100}.{1 + NUMBER // 250 % 250}.{1 + NUMBER % 250}" for first in (1, 101)
+)
 
 
 def now():
@@ -83,7 +86,7 @@
         self.writers = set()
 
     async def listen(self, port=0):
-        self.server = await asyncio.start_server(self.serve, HOST, port, limit=1 << 22)
+        self.server = await asyncio.start_server(self.serve, STAND_INS, port, limit=1 << 22)
         return self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
@@ -474,7 +477,7 @@
             strands.append(item)
         return {
             "knotter": self.name,
-            "address": f"{HOST}:{self.port}",
+            "address": f"{STAND_INS}:{self.port}",
             "build": self.build,
             "yard": self.yard,
             "loaners": self.loaners,
@@ -587,7 +590,7 @@
                 for c in p.controllers.values()
                 if c is not self
             ],
-            "outside": {"cloud": f"{HOST}:{cloud_port}", "state": f"{HOST}:{state_port}"},
+            "outside": {"cloud": f"{STAND_INS}:{cloud_port}", "state": f"{STAND_INS}:{state_port}"},
             "deployment": p.deployment,
         }
         self.file = os.path.join(p.folder, f"{self.name}.json")
@@ -724,7 +727,7 @@
         self.agents.append(worker)
         self.machines[name] = {
             "ref": name,
-            "address": f"{HOST}:0",
+            "address": f"{STAND_INS}:0",
             "build": build,
             "yard": yard,
             "loaners": loaners,
@@ -739,7 +742,7 @@
         await asyncio.sleep(self.boot_s(machine["build"]))
         if self.machines.get(machine["ref"]) is machine:
             await machine["worker"].start()
-            machine["address"] = f"{HOST}:{machine['worker'].port}"
+            machine["address"] = f"{STAND_INS}:{machine['worker'].port}"
             machine["up_at"] = now()
 
     # ---- what the rules see
