Log contact with each zone's workers, and leases that expire

A controller logs when it stops and begins again to hear a zone's workers ("zone outage began", "zone outage ended"), its contact by zone once a window ("zone contact"), and the allocations that it releases because a worker's lease has expired. Nothing else changes.

--- a/src/core/leader/window.c
+++ b/src/core/leader/window.c
@@ -187,6 +187,16 @@
   c->workers.duplicate_heartbeats = c->workers.impossible_tokens = 0;
 }
 
+/* Logs this controller's contact with its workers, by zone. */
+static void log_zone_contact(FkController *c) {
+  for (guint i = 0; i < c->workers.zones->len; i++) {
+    const FkZoneReachability *zone = &g_array_index(c->workers.zones, FkZoneReachability, i);
+    if (zone->machines)
+      g_info("zone contact zone=%s machines=%u heard=%u outage=%s", zone->zone, zone->machines,
+             zone->recently_seen, zone->outage_logged ? "yes" : "no");
+  }
+}
+
 /* Logs how many scheduling cycles launched nothing, by reason, and the outcomes of launches. */
 static void log_launches(FkController *c) {
   g_autoptr(GString) reasons = g_string_new(NULL);
@@ -247,6 +257,7 @@
   log_store_use(c);
   log_cpu_profile(c);
   log_table_sizes(c);
+  log_zone_contact(c);
   c->window.waits = (FkWaitTimes){0};
   if (!c->leader.is_leader)
     return;
--- a/src/core/workers/reconciliation.c
+++ b/src/core/workers/reconciliation.c
@@ -106,6 +106,7 @@
 
 void fk_reconciliation_complete_ended(FkController *c, FkMachine *machine, gboolean lease_expired) {
   gboolean token_needed = FALSE;
+  guint ended = 0;
   for (guint i = 0; i < machine->allocations->len; i++) {
     const FkAllocationRef *allocation = &g_array_index(machine->allocations, FkAllocationRef, i);
     if (fk_completion_is_pending(c, machine, allocation))
@@ -120,9 +121,14 @@
     case VERDICT_RELEASED:
     case VERDICT_DONE:
       add_completion(c, machine, allocation, verdict, lease_expired);
+      ended++;
       break;
     }
   }
+  if (ended && lease_expired)
+    g_message("worker lease expired machine=%s released=%u silent_s=%.1f drain_reason=%s", machine->id, ended,
+              fk_time_between(fk_worker_silent_since(machine), c->now),
+              machine->drain_reason ? machine->drain_reason : "none");
   if (token_needed)
     request_new_token(c, machine);
 }
--- a/src/core/workers/workers.h
+++ b/src/core/workers/workers.h
@@ -59,6 +59,7 @@
   FkTime outage_seen_at;    /* latest time at which so few workers of the zone were heard from that this
                                controller may be isolated; 0 if never */
   FkTime outage_started_at; /* when the latest outage was first detected; 0 if there was none */
+  gboolean outage_logged;   /* the log has the beginning of the latest outage, but not its end */
   FkTime all_silent_at;     /* when `recently_seen` was last 0 although the zone has workers; 0 if never */
 } FkZoneReachability;
 
--- a/src/core/workers/zone_reachability.c
+++ b/src/core/workers/zone_reachability.c
@@ -82,11 +82,24 @@
           zone->seen_just_now < OUTAGE_SHARE * zone->expected_just_now);
 }
 
+/* Returns whether the zone's latest outage goes on: it was detected within the last OUTAGE_CHECK_S. */
+static gboolean outage_is_present(FkController *c, const FkZoneReachability *zone) {
+  return fk_time_between(zone->outage_seen_at, c->now) <= OUTAGE_CHECK_S;
+}
+
 static void record_outage(FkController *c, FkZoneReachability *zone) {
   if (controller_may_be_isolated(zone)) {
-    if (fk_time_between(zone->outage_seen_at, c->now) > OUTAGE_CHECK_S)
+    if (!outage_is_present(c, zone)) {
       zone->outage_started_at = c->now;
+      zone->outage_logged = TRUE;
+      g_message("zone outage began zone=%s machines=%u heard=%u", zone->zone, zone->machines,
+                zone->recently_seen);
+    }
     zone->outage_seen_at = c->now;
+  } else if (zone->outage_logged && !outage_is_present(c, zone)) {
+    zone->outage_logged = FALSE;
+    g_message("zone outage ended zone=%s machines=%u heard=%u outage_s=%.1f", zone->zone, zone->machines,
+              zone->recently_seen, fk_time_between(zone->outage_started_at, zone->outage_seen_at));
   }
   if (zone->machines && !zone->recently_seen)
     zone->all_silent_at = c->now;
@@ -156,7 +169,7 @@
   if (zone->machines <= 1)
     return silent_s > 2 * limit_s;
   double outage_over_s = fk_time_between(zone->outage_seen_at, c->now);
-  if (outage_over_s <= OUTAGE_CHECK_S)
+  if (outage_is_present(c, zone))
     return MIN(silent_s, fk_time_between(zone->all_silent_at, c->now)) > 3 * limit_s;
   if (since.us > zone->outage_seen_at.us)
     return TRUE;
