Mark machines that a whole listing of the cloud lacks, whoever owns them

Cause: who takes a machine for gone is its owner, by its silence. An owner that hears none of its machines of a zone may be cut off itself, and marks none of them. The cloud's list has no `failed` entry for a spot machine that was taken back: the machine is missing from it, and nobody looked for what is missing.

Change: at the end of a whole listing, the leader marks the machines that none of its pages has as silent, and terminates them, which is the cloud's proof that their tasks have ended. Only machines that it has known for longer than the list can lag (twice `cloud.list_lag_s`) and doesn't hear itself. A listing that was under way when leadership changed is dropped, and no second one begins beside it. An instance that disappears while it boots isn't counted as capacity any more.

Tests: lost_machines, machine_loss_follower and machine_loss_leader (12 services of a machine each, 3 and 5 controllers, all machines of one controller lost at once).

--- a/src/core/autoscaler/autoscaler.c
+++ b/src/core/autoscaler/autoscaler.c
@@ -64,8 +64,11 @@
 }
 
 void fk_autoscaler_reset(FkController *c) {
+  gboolean list_pending = c->autoscaling.autoscaler->list_pending;
   fk_autoscaler_free(c->autoscaling.autoscaler);
   c->autoscaling.autoscaler = fk_autoscaler_new(c->now);
+  c->autoscaling.autoscaler->list_pending = list_pending;
+  c->autoscaling.autoscaler->list_reply_obsolete = list_pending;
 }
 
 double fk_autoscaler_booting_price(FkController *c) {
@@ -124,6 +127,8 @@
     return;
   FkOutput *output = fk_output_new(c, FK_OUTPUT_LIST_MACHINES);
   output->after = g_strdup(a->list_cursor ? a->list_cursor : "");
+  if (!a->list_cursor)
+    a->listing_began_at = c->now;
   a->list_pending = TRUE;
 }
 
--- a/src/core/autoscaler/autoscaler_internal.h
+++ b/src/core/autoscaler/autoscaler_internal.h
@@ -19,7 +19,7 @@
                                   `request_time_exact` */
   gboolean request_time_exact; /* whether `requested_at` is when the cloud replied to this leader's request */
   gboolean listed;             /* whether the instance has appeared in the cloud's list */
-  gboolean failed;             /* whether the instance was listed as failed at `listed_at` */
+  gboolean failed;             /* whether the cloud's latest list shows the instance as failed, or lacks it */
   gboolean running;            /* whether the instance has been listed as running */
   FkTime listed_at;            /* when the instance was last listed */
   FkTime running_since;        /* when the instance was first listed as running; valid if `running` */
@@ -59,6 +59,9 @@
   guint64 request_counter;
   FkTime next_plan_at, next_list_at, next_termination_at, next_consolidation_at, next_idle_check_at;
   gboolean list_pending, listed_once;
+  gboolean
+      list_reply_obsolete;    /* the pending page was requested before the last reset and is to be ignored */
+  FkTime listing_began_at;    /* when the first page of the present listing was requested */
   char *list_cursor;          /* the last id of the previous page; NULL to list from the start */
   GHashTable *arrival_rates;  /* class -> FkArrivalRate */
   FkTime arrivals_counted_at; /* services first seen up to this time aren't counted again */
--- a/src/core/state/view.h
+++ b/src/core/state/view.h
@@ -87,6 +87,7 @@
   const char *drain_reason;  /* interned: why the machine is to be drained; NULL if it is not */
   FkTime drain_reason_since; /* when this controller first saw the drain reason */
   FkTime record_seen_at;     /* when this controller first saw the machine's record */
+  FkTime listed_at;          /* when this controller last saw the machine in the cloud's list; 0 if never */
   double notice_s;           /* seconds from `drain_reason_since` until the termination; < 0 if unknown */
   FkTime idle_since;         /* when the machine last became idle */
   gboolean blacklisted;      /* in the short partition, which newly arrived long jobs may not use */
--- a/src/simulation/cloud.c
+++ b/src/simulation/cloud.c
@@ -6,6 +6,7 @@
 #define BOOT_MAX_S 8.0
 #define FAST_BOOT_MIN_S 0.6 /* where the plan says the longest boot */
 #define LIST_LAG_US (4 * G_USEC_PER_SEC)
+#define LIST_LAG_STEPS 3 /* once, one and a half times, twice LIST_LAG_US */
 
 static void list_instance_types(SimCall *call) {
   if (!sim_call_is_pending(call))
@@ -49,6 +50,8 @@
       sim_call_reply(call, (SimAnswer){.outcome = FK_OUTCOME_CONFLICT});
       return;
     }
+    if (sim->machines_lost_at && sim->result.recovery.provisioned_s <= 0)
+      sim->result.recovery.provisioned_s = (double)(sim->now - sim->machines_lost_at) / 1e6;
     ids = boot_machines(sim, request, MIN(request->count, machines_max - machines));
     g_hash_table_insert(sim->provisioned, g_strdup(request->name), ids);
   }
@@ -92,13 +95,20 @@
   return machine;
 }
 
+/* Whether a list of that moment has the machine: a machine that was listed stays so until it is gone. */
+static gboolean is_listed(SimWorker *worker, gint64 as_of) {
+  worker->listed |= worker->created_at <= as_of;
+  return worker->listed && (!worker->gone || worker->gone_at > as_of);
+}
+
+/* The list lags by once to twice the usual time, by turns, so that one may be older than the one before. */
 static void list_machines(Sim *sim, SimCall *call) {
+  gint64 as_of =
+      sim->now - LIST_LAG_US - LIST_LAG_US * (sim->lists++ % LIST_LAG_STEPS) / (LIST_LAG_STEPS - 1);
   GPtrArray *list = g_ptr_array_new_with_free_func(fk_cloud_machine_free);
-  for (guint i = 0; i < sim->workers->len; i++) {
-    const SimWorker *worker = sim->workers->pdata[i];
-    if (!worker->gone && sim->now - worker->created_at >= LIST_LAG_US)
-      g_ptr_array_add(list, listed_machine(sim, worker));
-  }
+  for (guint i = 0; i < sim->workers->len; i++)
+    if (is_listed(sim->workers->pdata[i], as_of))
+      g_ptr_array_add(list, listed_machine(sim, sim->workers->pdata[i]));
   sim_call_reply(call, (SimAnswer){.outcome = FK_OUTCOME_OK, .list = list});
 }
 
--- a/src/simulation/planned_faults.c
+++ b/src/simulation/planned_faults.c
@@ -5,7 +5,7 @@
 #include "simulation/simulation_internal.h"
 #include "wire/store.h"
 
-static int current_leader(Sim *sim) {
+int sim_leader(Sim *sim) {
   g_autofree char *path = fk_store_key_path(FK_STORE_KEY_LEADER, "");
   const FkStoreItem *it = fk_store_model_get(sim->store, path);
   if (!it)
@@ -99,7 +99,7 @@
 
 /* Faults of controllers: roles are resolved now. */
 static void fault_targets(Sim *sim, const SimFault *fault) {
-  int leader = current_leader(sim), one = leader;
+  int leader = sim_leader(sim), one = leader;
   if (fault->target == SIM_TARGET_ANY || leader < 0)
     one = g_rand_int_range(sim->rand, 0, sim->controller_count);
   else if (fault->target == SIM_TARGET_FOLLOWER)
--- a/src/simulation/random_faults.c
+++ b/src/simulation/random_faults.c
@@ -16,29 +16,6 @@
   }
 }
 
-/* The growth experiment's loss: just so many machines, whatever runs there. */
-void sim_lose_share(Sim *sim, gpointer p) {
-  SimRecovery *r = &sim->result.recovery;
-  guint here = 0, seen = 0;
-  for (guint i = 0; i < sim->workers->len; i++)
-    here += !((SimWorker *)sim->workers->pdata[i])->gone;
-  guint every = (guint)MAX(1, 1 / sim->plan.loss_share + 0.5);
-  r->up = g_hash_table_size(sim->running_on);
-  sim->machines_lost_at = sim->now;
-  for (guint i = 0; i < sim->workers->len; i++) {
-    SimWorker *w = sim->workers->pdata[i];
-    if (w->gone || seen++ % every)
-      continue;
-    for (guint k = 0; k < w->model.tasks->len; k++) {
-      FkWorkerTask *t = w->model.tasks->pdata[k];
-      if (t->resident)
-        r->lost += sim_job_find(sim, t->job)->lost = TRUE;
-    }
-    sim_worker_lose(sim, w);
-  }
-  g_debug("WORLD %.3f of %u machines %u are lost", sim->now / 1e6, here, seen / every);
-}
-
 static void partition_zone(Sim *sim) {
   static const double times[] = {0.5, 1, 1.5};
   double s = times[g_rand_int_range(sim->rand, 0, 3)] *
--- a/src/simulation/simulation.c
+++ b/src/simulation/simulation.c
@@ -162,7 +162,7 @@
 /* Nothing but services, and the loss of a share of the machines. */
 static void schedule_recovery(Sim *sim) {
   sim_submit_services(sim);
-  sim_schedule(sim, sim->plan.loss_at_s, sim_lose_share, NULL);
+  sim_schedule(sim, sim->plan.loss_at_s, sim_lose_machines, NULL);
 }
 
 static void schedule_workload(Sim *sim) {
--- a/src/simulation/simulation.h
+++ b/src/simulation/simulation.h
@@ -56,6 +56,13 @@
       *key_prefix; /* SIM_FAULT_LOST_REPLIES: only of transactions that write below this prefix; NULL: all */
 } SimFault;
 
+/* Which machines the recovery experiment loses. */
+typedef enum {
+  SIM_LOSS_SHARE,               /* a share of all */
+  SIM_LOSS_WORKERS_OF_FOLLOWER, /* all that report to one controller, which isn't the leader */
+  SIM_LOSS_WORKERS_OF_LEADER    /* all that report to the leader */
+} SimLoss;
+
 /* What is simulated. All that isn't set is off, or as said. Probabilities are of each message, job or
  * machine.
  */
@@ -90,7 +97,9 @@
   double cancel_chain_at_s;  /* the first job of both is cancelled; 0: never */
   gboolean stop_polling_when_final; /* a user who was told the terminal state doesn't ask again */
   guint services; /* the recovery experiment: nothing but so many services of one task, all up ... */
-  double loss_at_s, loss_share; /* ... when this share of the machines is lost */
+  double loss_at_s, loss_share; /* ... when machines are lost: this share of them, ... */
+  SimLoss loss;                 /* ... or others */
+  gboolean loss_hangs;          /* the machines hang until the end, and stay in the cloud's list as running */
 
   /* faults by chance, for 0.6 of the time; none if there are planned ones */
   double lost, late;       /* probability that an answer is lost, that a message is late */
@@ -127,12 +136,14 @@
 /* What the loss of many machines costs, from the loss to the last replica's start; simulated seconds. */
 typedef struct {
   guint up;                       /* services up just before */
+  guint machines_lost;            /* machines, with services or without */
   guint lost;                     /* of them, those whose machine was lost */
   guint recovered;                /* of those, the ones that run again */
   double first_s, half_s, last_s; /* until the first, half and the last of them ran again */
   guint requests, writes;         /* at the store */
   guint terminate_calls, provision_calls;
-  double core_ms; /* processor time of all controllers' cores, in real milliseconds */
+  double provisioned_s; /* until the first machines after the loss were provisioned; 0: none were */
+  double core_ms;       /* processor time of all controllers' cores, in real milliseconds */
 } SimRecovery;
 
 typedef struct {
--- a/src/simulation/simulation_internal.h
+++ b/src/simulation/simulation_internal.h
@@ -40,7 +40,8 @@
   guint controller;
   guint incarnation;           /* what was sent to an earlier one is lost */
   guint64 heartbeat_in_flight; /* 0: none */
-  gint64 created_at;
+  gint64 created_at, gone_at;
+  gboolean listed; /* the cloud's list has had it */
 } SimWorker;
 
 typedef struct {
@@ -93,6 +94,7 @@
   FkStoreModel *store;
   FkStoreRateLimit rate_limit;
   GHashTable *provisioned; /* name -> GPtrArray */
+  guint lists;             /* of machines, so far */
   gint64 outage_until;
   SimController controllers[SIM_CONTROLLERS_MAX];
   int controller_count; /* controllers */
@@ -112,7 +114,7 @@
   GHashTable *workers_by_id, *jobs_by_id;
   GHashTable *requests;    /* number -> SimRequest */
   GHashTable *running_on;  /* "job/task" -> SimWorker: where it truly runs */
-  gint64 machines_lost_at; /* when the share of the machines was lost; 0: not yet */
+  gint64 machines_lost_at; /* when the recovery experiment's machines were lost; 0: not yet */
   gboolean finished;       /* the recovery experiment is over */
   gint64 core_ns;          /* spent in the controllers' cores since then */
   SimResult result;
@@ -270,6 +272,8 @@
 guint sim_worst_class_percent(Sim *sim);
 
 /* planned_faults.c */
+/* The number of the controller that the store names as the leader; -1: none. */
+int sim_leader(Sim *sim);
 /* Schedules the plan's faults. */
 void sim_schedule_faults(Sim *sim);
 /* The store refuses everybody; once that is over every lease has its full time again. */
@@ -277,8 +281,10 @@
 /* The probability that a message is duplicated now. */
 double sim_duplicate_share(const Sim *sim);
 
+/* machine_loss.c */
+/* The recovery experiment's loss of machines, whatever runs there. An event's function. */
+void sim_lose_machines(Sim *sim, gpointer unused);
+
 /* random_faults.c */
-/* The recovery experiment's loss: exactly that share of the machines, whatever runs there. */
-void sim_lose_share(Sim *sim, gpointer p);
 /* Injects faults by chance, again and again. An event's function. */
 void sim_random_fault(Sim *sim, gpointer p);
--- a/src/simulation/workers.c
+++ b/src/simulation/workers.c
@@ -51,6 +51,7 @@
 void sim_worker_lose(Sim *sim, SimWorker *w) {
   clear_tasks(sim, w);
   w->gone = TRUE;
+  w->gone_at = sim->now;
 }
 
 gboolean sim_worker_is_hung(Sim *sim, const SimWorker *w) { return sim->now < w->hung_until; }
--- a/test/rig.c
+++ b/test/rig.c
@@ -150,3 +150,20 @@
   fk_controller_heartbeat_received(r->c, r->now, (FkRequestId){seq}, says(r, machine, zone, 1, seq));
   pump(r);
 }
+
+char *machine_page(const char *zone, const char *name, guint n, GPtrArray *ids) {
+  g_autofree char *first_id = g_strconcat(name, "-1", NULL),
+                  *first_shard = fk_shard_id_for_machine(zone, first_id);
+  GString *page = g_string_new(NULL);
+  g_string_printf(page, "{\"zone\":\"%s\",\"m\":[", zone);
+  guint first = ids->len;
+  for (guint k = 1; ids->len < first + n; k++) {
+    g_autofree char *id = g_strdup_printf("%s-%u", name, k), *shard = fk_shard_id_for_machine(zone, id);
+    if (!g_str_equal(shard, first_shard))
+      continue;
+    g_string_append_printf(page, "%s[\"%s\",\"box8\",\"127.0.0.1:9\",0]", ids->len > first ? "," : "", id);
+    g_ptr_array_add(ids, g_steal_pointer(&id));
+  }
+  g_string_append(page, "]}");
+  return g_string_free(page, FALSE);
+}
--- a/test/rig.h
+++ b/test/rig.h
@@ -34,3 +34,6 @@
 guint starts(const FkOutput *o);
 FkHeartbeat *says(Rig *r, const char *machine, const char *zone, guint64 session, guint64 seq);
 void report_of(Rig *r, const char *machine, const char *zone);
+/* Returns the content of a shard's page with `n` machines of the zone, all in the shard of the first machine.
+ * Adds their ids to `ids`. */
+char *machine_page(const char *zone, const char *name, guint n, GPtrArray *ids);
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -126,25 +126,6 @@
   rig_free(r);
 }
 
-/* Returns the content of a shard's page with `n` machines of the zone, all in the shard of the first machine.
- * Adds their ids to `ids`. */
-static char *machine_page(const char *zone, const char *name, guint n, GPtrArray *ids) {
-  g_autofree char *first_id = g_strconcat(name, "-1", NULL),
-                  *first_shard = fk_shard_id_for_machine(zone, first_id);
-  GString *page = g_string_new(NULL);
-  g_string_printf(page, "{\"zone\":\"%s\",\"m\":[", zone);
-  guint first = ids->len;
-  for (guint k = 1; ids->len < first + n; k++) {
-    g_autofree char *id = g_strdup_printf("%s-%u", name, k), *shard = fk_shard_id_for_machine(zone, id);
-    if (!g_str_equal(shard, first_shard))
-      continue;
-    g_string_append_printf(page, "%s[\"%s\",\"box8\",\"127.0.0.1:9\",0]", ids->len > first ? "," : "", id);
-    g_ptr_array_add(ids, g_steal_pointer(&id));
-  }
-  g_string_append(page, "]}");
-  return g_string_free(page, FALSE);
-}
-
 /* A controller acquires another controller's shard if a sufficient share of the shard's workers return to it
  * after it has redirected them to the owner. The controller must not acquire the shard if only a few of many
  * workers return, or if the controller has only just lost the shard: two busy controllers once took the same
