Count no machine as capacity whose owner doesn't hear its zone

Cause: contact with a machine is known to its owner alone. The other controllers, the leader among them, took every registered machine of another owner without a drain reason for usable, and so did the autoscaler's plan, the shares, the reservations and consolidation. An owner that hears none of its machines of a zone writes no drain reason, rightly: it may be cut off.

Until it hears the zone again or another controller owns the shard, fk_machine_is_available() is false for these machines. Everything that counts machines as capacity now asks it: launches of the short and the long path, preemption and gangs (fk_machine_is_usable), backfill reservations, spot capacity, the cluster's capacity for shares, the scale-out plan, consolidation. Nobody is terminated for it, and allocations stay until their proof.

--- a/src/core/autoscaler/consolidation.c
+++ b/src/core/autoscaler/consolidation.c
@@ -68,10 +68,10 @@
 }
 
 /* Returns the machine's price divided by the price of its tasks on the cheapest machines; 0 if the machine
- * has no tasks or no known type, is drained already, or has a task that can't be restarted elsewhere. */
+ * has no tasks or no known type, isn't available, or has a task that can't be restarted elsewhere. */
 static double price_ratio(FkController *c, const FkMachine *machine) {
   const FkInstanceType *type = fk_machine_type(c, machine);
-  if (!type || machine->drain_reason || !machine->allocations->len)
+  if (!type || !fk_machine_is_available(machine) || !machine->allocations->len)
     return 0;
   double needed_price = 0;
   for (guint i = 0; i < machine->allocations->len; i++) {
@@ -125,7 +125,7 @@
   return hardest;
 }
 
-/* Returns how many tasks with this spec fit on machines that are in use, not drained, and cheaper than
+/* Returns how many tasks with this spec fit on machines that are in use, available, and cheaper than
  * `drained`. */
 static guint slots_elsewhere(FkController *c, const FkMachine *drained, const FkSpec *spec) {
   double price = fk_instance_type_price(drained->type, drained->record->spot);
@@ -136,7 +136,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     FkMachine *machine = value;
     const FkInstanceType *type = fk_machine_type(c, machine);
-    if (!type || machine == drained || machine->drain_reason || !machine->allocations->len ||
+    if (!type || machine == drained || !fk_machine_is_available(machine) || !machine->allocations->len ||
         (machine->record->spot && !spec->spot) || !fk_placement_fits_type(spec, type) ||
         fk_instance_type_price(type, machine->record->spot) >= price)
       continue;
--- a/src/core/autoscaler/scale_out_plan.c
+++ b/src/core/autoscaler/scale_out_plan.c
@@ -75,7 +75,7 @@
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     FkMachine *machine = value;
     const FkInstanceType *type = fk_machine_type(c, machine);
-    if (type && !machine->drain_reason && !machine->pending_drain_reason)
+    if (type && fk_machine_is_available(machine) && !machine->pending_drain_reason)
       add_machine(c, plan, machine, type);
   }
 }
--- a/src/core/scheduling/backfill_reservation.c
+++ b/src/core/scheduling/backfill_reservation.c
@@ -136,7 +136,7 @@
 }
 
 static gboolean can_be_reserved(FkController *c, const FkMachine *machine, const char *zone) {
-  return machine->record && !machine->drain_reason &&
+  return fk_machine_is_available(machine) &&
          !g_hash_table_contains(c->leader.backfill_reservations->by_machine, machine->id) &&
          (!zone || g_str_equal(zone, machine->record->zone));
 }
--- a/src/core/scheduling/capacity_index.c
+++ b/src/core/scheduling/capacity_index.c
@@ -104,7 +104,7 @@
 
 static gboolean is_available_spot(gpointer item, gpointer unused) {
   const FkMachine *machine = item;
-  return machine->record->spot && !machine->drain_reason;
+  return machine->record->spot && fk_machine_is_available(machine);
 }
 
 double fk_capacity_index_spot_cpus(FkController *c, double needed) {
--- a/src/core/scheduling/scheduling_queue.c
+++ b/src/core/scheduling/scheduling_queue.c
@@ -152,8 +152,7 @@
   g_hash_table_iter_init(&it, c->view->machines);
   while (g_hash_table_iter_next(&it, NULL, &value)) {
     const FkMachine *machine = value;
-    const FkInstanceType *type =
-        machine->record && !machine->drain_reason ? fk_machine_type(c, machine) : NULL;
+    const FkInstanceType *type = fk_machine_is_available(machine) ? fk_machine_type(c, machine) : NULL;
     queue->cluster_cpus += type ? type->cpus : 0;
     queue->cluster_gpus += type ? type->gpus : 0;
   }
--- a/src/core/state/records.c
+++ b/src/core/state/records.c
@@ -80,6 +80,7 @@
   case FK_STORE_KEY_LEADER:
     g_free(record->node);
     g_free(record->incarnation);
+    g_strfreev(record->unreachable_zones);
     break;
   case FK_STORE_KEY_TEAM:
     g_free(record->last_exhausted_by);
--- a/src/core/state/records.h
+++ b/src/core/state/records.h
@@ -67,8 +67,9 @@
     FkChunk *chunk;         /* CHUNK */
     GPtrArray *machines;    /* MACHINE_PAGE: FkMachineRecord */
     GPtrArray *completions; /* COMPLETIONS: FkCompletionRecord */
-    struct { /* SHARD: the shard's owner; LEADER: the leader; NODE: only `incarnation` is set */
+    struct {                /* SHARD: the shard's owner; LEADER: the leader; NODE: `node` is NULL */
       char *node, *incarnation;
+      char **unreachable_zones; /* NODE: see FkControllerNode; owned */
     };
     struct {                   /* TEAM */
       char *last_exhausted_by; /* the last controller to use up its share; NULL if none */
--- a/src/core/state/view.c
+++ b/src/core/state/view.c
@@ -61,6 +61,7 @@
   FkControllerNode *node = data;
   g_free(node->name);
   g_free(node->incarnation);
+  g_strfreev(node->unreachable_zones);
   g_free(node);
 }
 
--- a/src/core/state/view.h
+++ b/src/core/state/view.h
@@ -39,8 +39,11 @@
 /* A subset of the machines of one zone that have a common owner. The fencing token of a shard's owner is the
  * revision of the record that names the owner. */
 typedef struct {
-  const char *id, *zone;               /* interned */
-  char *owner, *owner_incarnation;     /* the controller that owns the shard; NULL if none does */
+  const char *id, *zone;           /* interned */
+  char *owner, *owner_incarnation; /* the controller that owns the shard; NULL if none does */
+  /* The owner hears almost none of its workers in the zone: nobody knows whether the shard's machines are up.
+   */
+  gboolean unreachable;
   FkRev rev;                           /* revision of the owner's record; 0 if there is no record */
   FkRev page_revs[FK_SHARD_PAGES_MAX]; /* revisions of the shard's machine pages; 0 if not seen */
   gboolean oversized;                  /* a page exceeds FK_MACHINE_PAGE_MAX_BYTES and is to be divided */
@@ -101,6 +104,8 @@
 /* A live controller. */
 typedef struct {
   char *name, *incarnation;
+  /* The zones in which the controller hears almost none of its workers, sorted; NULL if there is none. */
+  char **unreachable_zones;
   FkRev rev;
 } FkControllerNode;
 
--- a/src/core/state/view_apply.c
+++ b/src/core/state/view_apply.c
@@ -3,6 +3,14 @@
 
 #include <string.h>
 
+/* Updates the shard's `unreachable` from what its owner has reported. */
+static void update_reachability(FkView *v, FkShard *shard) {
+  const FkControllerNode *node = shard->owner ? g_hash_table_lookup(v->nodes, shard->owner) : NULL;
+  shard->unreachable = node && node->unreachable_zones &&
+                       g_strcmp0(node->incarnation, shard->owner_incarnation) == 0 &&
+                       g_strv_contains((const char *const *)node->unreachable_zones, shard->zone);
+}
+
 static void set_shard(FkView *v, const char *id, FkRecord *record, FkRev rev) {
   FkShard *shard = fk_view_ensure_shard(v, id);
   if (shard->rev.n >= rev.n)
@@ -14,6 +22,7 @@
     shard->owner = g_strdup(record->node);
     shard->owner_incarnation = g_strdup(record->incarnation);
   }
+  update_reachability(v, shard);
   for (guint i = 0; i < shard->machines->len; i++)
     fk_view_mark_machine_changed(v, shard->machines->pdata[i]);
 }
@@ -88,16 +97,27 @@
   }
 }
 
-static void set_node(FkView *v, const char *id, const FkRecord *record, FkRev rev) {
-  if (!record) {
-    g_hash_table_remove(v->nodes, id);
-    return;
-  }
+static FkControllerNode *node_from_record(const char *id, const FkRecord *record, FkRev rev) {
   FkControllerNode *node = g_new0(FkControllerNode, 1);
   node->name = g_strdup(id);
   node->incarnation = g_strdup(record->incarnation);
+  node->unreachable_zones = g_strdupv(record->unreachable_zones);
   node->rev = rev;
-  g_hash_table_replace(v->nodes, node->name, node);
+  return node;
+}
+
+static void set_node(FkView *v, const char *id, const FkRecord *record, FkRev rev) {
+  if (record) {
+    FkControllerNode *node = node_from_record(id, record, rev);
+    g_hash_table_replace(v->nodes, node->name, node);
+  } else {
+    g_hash_table_remove(v->nodes, id);
+  }
+  GHashTableIter iter;
+  gpointer shard;
+  g_hash_table_iter_init(&iter, v->shards);
+  while (g_hash_table_iter_next(&iter, NULL, &shard))
+    update_reachability(v, shard);
 }
 
 static void set_launch_fence(FkView *v, const char *id, const FkRecord *record, FkRev rev) {
--- a/src/core/store_session/session.c
+++ b/src/core/store_session/session.c
@@ -199,14 +199,22 @@
   c->store_session.lease_pending = TRUE;
 }
 
-/* Writes the node key, unless the view shows the node key with the controller's current incarnation. */
+static gboolean zones_equal(char **a, char **b) {
+  return a && b ? g_strv_equal((const char *const *)a, (const char *const *)b) : a == b;
+}
+
+/* Writes the node key, unless the view shows the node key with the controller's current incarnation and its
+ * unreachable zones. */
 static void put_node_key(FkController *c) {
   FkControllerNode *node = g_hash_table_lookup(c->view->nodes, c->settings->node);
-  if (node && g_str_equal(node->incarnation, c->incarnation))
+  g_auto(GStrv) unreachable_zones = fk_workers_unreachable_zones(c);
+  if (node && g_str_equal(node->incarnation, c->incarnation) &&
+      zones_equal(node->unreachable_zones, unreachable_zones))
     return;
   FkOutput *transaction = fk_transaction_new(c, FK_PRIORITY_LEASE);
   FkRecord *record = fk_record_new(FK_STORE_KEY_NODE);
   record->incarnation = g_strdup(c->incarnation);
+  record->unreachable_zones = g_steal_pointer(&unreachable_zones);
   /* The guard prevents a delayed write of an earlier incarnation, whose lease may still be valid for seconds,
    * from overwriting the node key. */
   fk_transaction_guard(transaction, fk_store_key_path(FK_STORE_KEY_NODE, c->settings->node),
--- a/src/core/workers/workers.c
+++ b/src/core/workers/workers.c
@@ -180,11 +180,15 @@
   }
 }
 
+gboolean fk_machine_is_available(const FkMachine *machine) {
+  return machine->record && !machine->drain_reason && !(machine->shard && machine->shard->unreachable);
+}
+
 /* An owned machine without recent contact, or one that doesn't receive messages, may be gone. It gets no new
- * tasks until there is contact again. Contact with other controllers' machines isn't known here and isn't
- * checked. */
+ * tasks until there is contact again. Contact with another controller's machine is known only as far as the
+ * owner reports the zone as unreachable. */
 gboolean fk_machine_is_usable(FkController *c, const FkMachine *machine) {
-  if (!machine->record || machine->drain_reason || !fk_time_reached(c->now, machine->full_until))
+  if (!fk_machine_is_available(machine) || !fk_time_reached(c->now, machine->full_until))
     return FALSE;
   if (!fk_machine_is_owned(c, machine) || !machine->worker)
     return TRUE;
--- a/src/core/workers/workers.h
+++ b/src/core/workers/workers.h
@@ -87,9 +87,20 @@
 /* Returns whether a message from the worker has echoed the shard's present fencing token. A worker that has
  * received this token ignores commands and replies that carry an older one. */
 gboolean fk_worker_has_echoed_token(const FkMachine *machine);
-/* Returns whether the machine may be given new tasks, as far as this controller knows. */
+/* Returns whether the machine is registered, isn't drained, and its shard's owner is in contact with its
+ * workers of the zone. Only such machines count as capacity. */
+gboolean fk_machine_is_available(const FkMachine *machine);
+/* Returns whether the machine may be given new tasks now, as far as this controller knows: it is available,
+ * hasn't just refused a start, and is in contact if this controller owns it. */
 gboolean fk_machine_is_usable(FkController *c, const FkMachine *machine);
 
+/* ---- zone_reachability.c ---- */
+
+/* Returns the zones in which this controller has heard almost none of its workers for some time, sorted; NULL
+ * if there is none. Either the workers are gone, or this controller is cut off from them. Owned by the
+ * caller. */
+char **fk_workers_unreachable_zones(FkController *c);
+
 /* ---- service_failover.c ---- */
 
 /* Returns how many tasks of services that aren't cancelled are allocated on the machine. */
--- a/src/core/workers/zone_reachability.c
+++ b/src/core/workers/zone_reachability.c
@@ -7,6 +7,8 @@
  * hears from the workers of its own zone, and must not treat all workers of the other zone as silent. */
 #include "core/workers/workers_internal.h"
 
+#include <string.h>
+
 #define PROBE_AFTER_INTERVALS 1.4 /* heartbeat intervals without contact after which a worker is probed */
 /* Seconds from when a worker is due for a probe until the worker counts as silent, unless
  * `silent_after_s` is configured. */
@@ -122,6 +124,31 @@
     record_outage(c, &g_array_index(zones, FkZoneReachability, i));
 }
 
+/* Returns how long an outage must have lasted until the zone is reported as unreachable: as long as it takes
+ * to find out that a worker without services is silent. */
+static double unreachable_after_s(FkController *c) {
+  return PROBE_AFTER_INTERVALS * c->settings->heartbeat_interval_s + PROBE_REPLY_WAIT_S;
+}
+
+static int compare_strings(gconstpointer a, gconstpointer b) {
+  return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+char **fk_workers_unreachable_zones(FkController *c) {
+  g_autoptr(GPtrArray) zones = g_ptr_array_new();
+  for (guint i = 0; i < c->workers.zones->len; i++) {
+    const FkZoneReachability *zone = &g_array_index(c->workers.zones, FkZoneReachability, i);
+    if (outage_is_present(c, zone) &&
+        fk_time_between(zone->outage_started_at, c->now) > unreachable_after_s(c))
+      g_ptr_array_add(zones, g_strdup(zone->zone));
+  }
+  if (!zones->len)
+    return NULL;
+  g_ptr_array_sort(zones, compare_strings);
+  g_ptr_array_add(zones, NULL);
+  return (char **)g_ptr_array_steal(zones, NULL);
+}
+
 /* ---- when a worker is probed, and whether it counts as silent or partitioned ---- */
 
 static gboolean runs_service(const FkMachine *machine) {
--- a/src/wire/store_records.c
+++ b/src/wire/store_records.c
@@ -321,6 +321,8 @@
   cJSON *json = cJSON_CreateObject();
   add_string_if_set(json, "node", record->node);
   add_string_if_set(json, "life", record->incarnation);
+  if (record->unreachable_zones)
+    cJSON_AddItemToObject(json, "unreachable", strings_to_json(record->unreachable_zones));
   return json;
 }
 
@@ -423,6 +425,8 @@
   case FK_STORE_KEY_SHARD:
     record->node = g_strdup(fk_json_str(json, "node"));
     record->incarnation = g_strdup(fk_json_str(json, "life"));
+    if (record->kind == FK_STORE_KEY_NODE && fk_json_get(json, "unreachable"))
+      strings_from_json(fk_json_get(json, "unreachable"), &record->unreachable_zones);
     if (!record->incarnation || (record->kind != FK_STORE_KEY_NODE && !record->node))
       return NULL;
     break;
--- a/test/test_combined_faults.c
+++ b/test/test_combined_faults.c
@@ -1010,6 +1010,7 @@
       {"fk/l/q/red", "{\"split\":{\"c-0\":3}}", TRUE},
       {"fk/l/g/north.3", "{\"node\":\"c-0\",\"life\":\"x\"}", TRUE},
       {"fk/l/n/c-0", "{\"life\":\"x\"}", TRUE},
+      {"fk/l/n/c-0", "{\"life\":\"x\",\"unreachable\":[\"north\"]}", FALSE},
       {"fk/d/run-1", "{\"phase\":2,\"tasks\":4}", TRUE},
       {"fk/d/run-2", "{\"phase\":2,\"tasks\":4,\"at\":17}", FALSE},
       {"fk/l/f/c-0", "{\"chains\":true}", FALSE},
--- a/test/test_lost_machines.c
+++ b/test/test_lost_machines.c
@@ -1,9 +1,12 @@
 /* Tests of what a single controller core knows about machines that may be gone: machines that the cloud's
  * list lacks, zones of which the owner hears no worker, and workers whose leases expired long ago. The test
  * provides all of the core's inputs. */
+#include <string.h>
+
 #include "rig.h"
 
 #define ZONE "north"
+#define MACHINES 4
 
 /* ---- machines that the cloud's list lacks ---- */
 
@@ -111,10 +114,124 @@
   }
 }
 
+/* ---- zones that can't be reached ---- */
+
+/* An owner with machines in the zone, and a store lease. */
+static Rig *owner_of_zone(GPtrArray *ids) {
+  Rig *r = rig_new(TRUE);
+  g_autofree char *page = group_key("m"), *members = machine_page(ZONE, "i", MACHINES, ids);
+  watched(r, (const char *const[]){page, members, NULL});
+  fk_controller_lease_grant_received(r->c, r->now, FK_OUTCOME_OK, (FkRev){7}, r->now);
+  return r;
+}
+
+/* Lets every direct call end without a reply. */
+static void fail_commands(Rig *r) {
+  g_autoptr(GPtrArray) outs = g_steal_pointer(&r->outs);
+  r->outs = g_ptr_array_new_with_free_func((GDestroyNotify)fk_output_free);
+  for (guint i = 0; i < outs->len; i++) {
+    const FkOutput *output = outs->pdata[i];
+    if (output->kind == FK_OUTPUT_COMMANDS)
+      fk_controller_command_reply_received(r->c, r->now, output->call, FK_OUTCOME_UNKNOWN, NULL);
+  }
+  pump(r);
+}
+
+/* Returns the record that the controller has written at the key and commits the write; NULL if there is none.
+ * Owned by the output. */
+static const FkRecord *committed_record(Rig *r, const char *key) {
+  const FkOutput *transaction = find(r, FK_OUTPUT_COMMIT, key);
+  for (guint i = 0; transaction && i < transaction->writes->len; i++) {
+    const FkWrite *write = &g_array_index(transaction->writes, FkWrite, i);
+    if (g_str_equal(write->path, key)) {
+      fk_controller_commit_received(r->c, r->now, transaction->call, FK_OUTCOME_OK, (FkRev){r->epoch + 1},
+                                    NULL);
+      return write->record;
+    }
+  }
+  return NULL;
+}
+
+static void hear_all(Rig *r, const GPtrArray *ids) {
+  for (guint i = 0; i < ids->len; i++)
+    report_of(r, ids->pdata[i], ZONE);
+}
+
+/* An owner that hears none of its workers of a zone says so in its record of the store, once it would know a
+ * single worker to be silent, and no longer when it hears them again. */
+static void test_owner_reports_unreachable_zone(void) {
+  g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+  Rig *r = owner_of_zone(ids);
+  const char *node_key = "fk/l/n/c-0";
+  const FkRecord *record = NULL;
+  double silent_s = 0;
+  hear_all(r, ids);
+  for (; silent_s < 30 && !record; silent_s += 0.5) {
+    tick(r, 0.5);
+    record = committed_record(r, node_key);
+    if (!record)
+      fail_commands(r);
+    watched(r, NULL);
+  }
+  g_assert_nonnull(record);
+  g_assert_cmpuint(g_strv_length(record->unreachable_zones), ==, 1);
+  g_assert_cmpstr(record->unreachable_zones[0], ==, ZONE);
+  g_assert_cmpfloat(silent_s, >, 2 * r->s->heartbeat_interval_s);
+  watched(r, (const char *const[]){node_key, "{\"life\":\"now\",\"unreachable\":[\"" ZONE "\"]}", NULL});
+  fail_commands(r);
+  record = NULL;
+  for (guint step = 0; step < 20 && !record; step++) {
+    hear_all(r, ids);
+    tick(r, 0.5);
+    record = committed_record(r, node_key);
+    watched(r, NULL);
+  }
+  g_assert_nonnull(record);
+  g_assert_null(record->unreachable_zones);
+  rig_free(r);
+}
+
+/* A machine of another owner that reports its zone as unreachable gets no task and doesn't count as capacity:
+ * machines are provisioned for the tasks that would fit there. */
+static void test_unreachable_machine_is_no_capacity(void) {
+  static const struct {
+    const char *what, *node; /* the record of the owner c-1 */
+    gboolean usable;
+  } cases[] = {
+      {"the zone is unreachable", "{\"life\":\"x\",\"unreachable\":[\"north\"]}", FALSE},
+      {"all zones are unreachable", "{\"life\":\"x\",\"unreachable\":[\"north\",\"south\"]}", FALSE},
+      {"nothing is reported", "{\"life\":\"x\"}", TRUE},
+      {"another zone is unreachable", "{\"life\":\"x\",\"unreachable\":[\"south\"]}", TRUE},
+      {"reported by an incarnation that doesn't own the shard",
+       "{\"life\":\"z\",\"unreachable\":[\"north\"]}", TRUE},
+  };
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    g_test_message("%s", cases[i].what);
+    Rig *r = rig_new(FALSE);
+    watched(r, (const char *const[]){"fk/l/n/c-1", cases[i].node, NULL});
+    const FkMachine *machine = fk_view_find_machine(fk_controller_view(r->c), "i-1");
+    g_assert_cmpint(fk_machine_is_usable(r->c, machine), ==, cases[i].usable);
+    g_assert_cmpint(fk_machine_is_available(machine), ==, cases[i].usable);
+    set_leader(r, "c-0", "now");
+    await_list_request(r);
+    reply_with_page(r, FK_OUTCOME_OK, "i-1", FALSE);
+    tick(r, 2);
+    g_assert_cmpint(find(r, FK_OUTPUT_PROVISION, NULL) == NULL, ==, cases[i].usable);
+    /* the next owner of the shard has contact */
+    g_autofree char *shard_key = group_key("g");
+    watched(r, (const char *const[]){shard_key, "{\"node\":\"c-2\",\"life\":\"y\"}", NULL});
+    g_assert_true(fk_machine_is_usable(r->c, machine));
+    rig_free(r);
+  }
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
   g_test_add_func("/lost_machines/missing_from_list", test_missing_from_list);
   g_test_add_func("/lost_machines/booting_instance_missing", test_booting_instance_missing);
+  g_test_add_func("/lost_machines/owner_reports_unreachable_zone", test_owner_reports_unreachable_zone);
+  g_test_add_func("/lost_machines/unreachable_machine_is_no_capacity",
+                  test_unreachable_machine_is_no_capacity);
   return g_test_run();
 }
--- a/test/test_machine_loss.c
+++ b/test/test_machine_loss.c
@@ -21,6 +21,9 @@
     /* the cloud has taken the machines back, and its list lacks them */
     {"follower", SIM_LOSS_WORKERS_OF_FOLLOWER, FALSE},
     {"leader", SIM_LOSS_WORKERS_OF_LEADER, FALSE},
+    /* the cloud goes on listing the machines as running */
+    {"follower_hang", SIM_LOSS_WORKERS_OF_FOLLOWER, TRUE},
+    {"leader_hang", SIM_LOSS_WORKERS_OF_LEADER, TRUE},
 };
 
 static void run_loss(const MachineLossCase *loss_case, guint64 seed, guint controllers) {
