Give up a machine a lease after its lease, also in a zone that is out

What callers saw: nothing but the bill: machines that hang, all of one controller's in a zone, were kept and paid for without an end, and (by reading) a spot machine with a termination notice stayed in the registry for good once it was gone.

Cause: while an owner hears none of a zone's machines, the time after which one counts as silent begins anew at each look (`all_silent_at`), so that it is never reached. The guard is right for as long as a mark may end running tasks.

Change: a machine whose lease has been over for as long as a lease counts as silent. Its tasks ended with the lease; what a cut that heals later loses is a boot. A cut of a zone of a lease and a half marks nobody, as before.

--- a/src/core/workers/workers.c
+++ b/src/core/workers/workers.c
@@ -47,9 +47,7 @@
 
 /* ---- liveness check of one worker ---- */
 
-/* Returns the time at which the worker has certainly ended all of its tasks if its lease isn't renewed
- * before. */
-static FkTime lease_expires_at(FkController *c, const FkMachine *machine) {
+FkTime fk_worker_lease_expires_at(FkController *c, const FkMachine *machine) {
   FkTime from =
       fk_failure_detector_lease_start(&machine->worker->failure_detector, fk_stale_view_trust_s(c->settings));
   return fk_time_add(from, fk_lease_expiry_s(c->settings));
@@ -81,7 +79,7 @@
     return; /* the machine doesn't reply, so the heartbeats that name it are probably duplicates */
   gboolean probe =
       silent_s > fk_worker_probe_after_s(c, machine) || fk_failure_detector_is_suspected(detector);
-  if (fk_time_reached(c->now, lease_expires_at(c, machine)))
+  if (fk_time_reached(c->now, fk_worker_lease_expires_at(c, machine)))
     fk_reconciliation_complete_ended(c, machine, TRUE);
   else if (worker->reconciled && !probe && !fully)
     return;
--- a/src/core/workers/workers_internal.h
+++ b/src/core/workers/workers_internal.h
@@ -2,6 +2,12 @@
 #pragma once
 #include "core/controller_internal.h"
 
+/* ---- workers.c ---- */
+
+/* Returns the time at which the worker has certainly ended all of its tasks if its lease isn't renewed
+ * before. */
+FkTime fk_worker_lease_expires_at(FkController *c, const FkMachine *machine);
+
 /* ---- worker_state.c ---- */
 
 /* Returns whether the view is ready and fresh enough to reply to workers and to send them commands. */
--- a/src/core/workers/zone_reachability.c
+++ b/src/core/workers/zone_reachability.c
@@ -17,6 +17,10 @@
 #define SERVICE_INTERVAL_MAX_S 3.0
 /* An outage counts as over when it hasn't been detected for this many seconds: two updates of the counts. */
 #define OUTAGE_CHECK_S 1.0
+/* Worker leases from the end of a worker's lease until the worker counts as silent during an outage in which
+ * no worker of its zone is heard from. Its tasks have ended by then, so only the time of a boot is lost if
+ * the worker comes back. */
+#define OUTAGE_SILENT_LEASES 1.0
 /* If less than this share of a zone's workers is heard from, this controller may be cut off from the zone. */
 #define OUTAGE_SHARE 0.25
 /* Length in seconds of the shorter window in which contacts are counted. The window is shorter than
@@ -182,8 +186,16 @@
   return machine->worker->failure_detector.missed_probes && fk_time_reached(c->now, c->workers.behind_until);
 }
 
+/* Returns whether the worker's lease has expired so long ago that the worker isn't waited for any more, even
+ * if this controller may be isolated. */
+static gboolean is_given_up(FkController *c, const FkMachine *machine) {
+  return fk_time_between(fk_worker_lease_expires_at(c, machine), c->now) >
+         OUTAGE_SILENT_LEASES * c->settings->worker_lease_s;
+}
+
 /* The limit is doubled for the only worker of a zone. During an outage the limit is tripled, and some worker
- * of the zone must have been heard from throughout that time. After an outage a zone's workers are heard from
+ * of the zone must have been heard from throughout that time, or the worker's lease must have expired long
+ * ago. After an outage a zone's workers are heard from
  * again one after the other, and workers that haven't had time to reply must not count as silent. For a
  * worker not heard from since the outage, the limit therefore counts from the end of the outage, and is
  * longer by the duration of the outage, but at most doubled. */
@@ -197,7 +209,8 @@
     return silent_s > 2 * limit_s;
   double outage_over_s = fk_time_between(zone->outage_seen_at, c->now);
   if (outage_is_present(c, zone))
-    return MIN(silent_s, fk_time_between(zone->all_silent_at, c->now)) > 3 * limit_s;
+    return MIN(silent_s, fk_time_between(zone->all_silent_at, c->now)) > 3 * limit_s ||
+           is_given_up(c, machine);
   if (since.us > zone->outage_seen_at.us)
     return TRUE;
   double outage_s = fk_time_between(zone->outage_started_at, zone->outage_seen_at);
--- a/test/test_lost_machines.c
+++ b/test/test_lost_machines.c
@@ -225,6 +225,29 @@
   }
 }
 
+/* While an owner hears none of a zone's workers, none of them counts as silent, since their tasks may be
+ * running. Once a worker's lease has been over for as long as a lease, there is nothing left to protect, and
+ * the machine is given up. */
+static void test_given_up_after_lease(void) {
+  g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+  Rig *r = owner_of_zone(ids);
+  g_autofree char *page = group_key("m");
+  gboolean marked = FALSE;
+  double silent_s = 0;
+  hear_all(r, ids);
+  for (; silent_s < 100 && !marked; silent_s += 0.5) {
+    tick(r, 0.5);
+    marked = find(r, FK_OUTPUT_COMMIT, page) != NULL;
+    fail_commands(r);
+    watched(r, NULL);
+  }
+  g_test_message("given up after %.1f s", silent_s);
+  g_assert_true(marked);
+  g_assert_cmpfloat(silent_s, >, 2 * r->s->worker_lease_s);
+  g_assert_cmpfloat(silent_s, <, 2.5 * r->s->worker_lease_s);
+  rig_free(r);
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
@@ -233,5 +256,6 @@
   g_test_add_func("/lost_machines/owner_reports_unreachable_zone", test_owner_reports_unreachable_zone);
   g_test_add_func("/lost_machines/unreachable_machine_is_no_capacity",
                   test_unreachable_machine_is_no_capacity);
+  g_test_add_func("/lost_machines/given_up_after_lease", test_given_up_after_lease);
   return g_test_run();
 }
