--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -59,6 +59,7 @@
   c->store_session.peer_confirmed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   c->workers.held_heartbeats = g_queue_new();
   c->launches.fence_needed = TRUE;
+  c->launches.yields = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   c->launches.no_launch_reasons = g_hash_table_new(g_direct_hash, g_direct_equal);
   c->completions.pending_by_machine = g_hash_table_new(g_direct_hash, g_direct_equal);
   c->completions.pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, fk_completion_free);
@@ -103,6 +104,7 @@
   g_hash_table_unref(c->workers.redirects);
   g_hash_table_unref(c->completions.pending);
   g_hash_table_unref(c->completions.pending_by_machine);
+  g_hash_table_unref(c->launches.yields);
   g_hash_table_unref(c->launches.no_launch_reasons);
   g_hash_table_unref(c->workers.commands);
   g_array_unref(c->workers.zones);
--- a/src/core/leader/window.c
+++ b/src/core/leader/window.c
@@ -197,6 +197,16 @@
   }
 }
 
+/* Logs how often free capacity was left to each blocked job. */
+static void log_yields(FkController *c) {
+  GHashTableIter it;
+  gpointer job, times;
+  g_hash_table_iter_init(&it, c->launches.yields);
+  while (g_hash_table_iter_next(&it, &job, &times))
+    g_info("capacity left free for_job=%s times=%u", (char *)job, GPOINTER_TO_UINT(times));
+  g_hash_table_remove_all(c->launches.yields);
+}
+
 /* Logs how many scheduling cycles launched nothing, by reason, and the outcomes of launches. */
 static void log_launches(FkController *c) {
   g_autoptr(GString) reasons = g_string_new(NULL);
@@ -207,6 +217,7 @@
     g_string_append_printf(reasons, "; %s: %u", (char *)reason, GPOINTER_TO_UINT(cycles));
   g_info("cycles without a launch%s", reasons->str);
   g_hash_table_remove_all(c->launches.no_launch_reasons);
+  log_yields(c);
   g_info("launches launched=%u conflicts=%u failures=%u", c->launches.launched, c->launches.conflicts,
          c->launches.failures);
   c->launches.launched = c->launches.conflicts = c->launches.failures = 0;
--- a/src/core/scheduling/launches.h
+++ b/src/core/scheduling/launches.h
@@ -13,6 +13,8 @@
 } FkReservation;
 
 typedef struct {
+  /* id of a blocked job (owned) -> how often in this window free capacity was left to it */
+  GHashTable *yields;
   GHashTable *no_launch_reasons; /* reason why a cycle launched nothing -> number of cycles in this window */
   guint launched;             /* launches in this window whose outcome was reported, whatever the outcome */
   guint conflicts;            /* launches in this window that a guard rejected */
--- a/src/core/scheduling/scheduling_queue.c
+++ b/src/core/scheduling/scheduling_queue.c
@@ -201,6 +201,13 @@
   }
 }
 
+/* Counts for the window's log that free capacity was left to the blocked job. */
+static void count_yield(FkController *c, const FkJob *blocked) {
+  const char *id = blocked->spec->id;
+  guint times = GPOINTER_TO_UINT(g_hash_table_lookup(c->launches.yields, id));
+  g_hash_table_insert(c->launches.yields, g_strdup(id), GUINT_TO_POINTER(times + 1));
+}
+
 gboolean fk_scheduling_queue_must_yield(FkController *c, const FkJob *job, const FkMachine *machine) {
   const GPtrArray *blocked = c->leader.scheduling_queue->blocked;
   if (fk_backfill_reservation_blocks(c, job, machine))
@@ -210,8 +217,10 @@
     return FALSE;
   for (guint i = 0; i < blocked->len; i++) {
     const FkJob *first = blocked->pdata[i];
-    if (fk_job_waiting_tasks(first) && fk_placement_is_allowed(c, first, machine))
+    if (fk_job_waiting_tasks(first) && fk_placement_is_allowed(c, first, machine)) {
+      count_yield(c, first);
       return TRUE;
+    }
   }
   return FALSE;
 }
