Leave free capacity only to blocked jobs that can come to use it

Cause: a job below the normal priority left every machine alone on which the first waiting job of a higher rank is allowed by type, zone and kind, whether or not that job can ever have room there.

Change: free capacity of a machine is left to a blocked job only if that job is expected to be able to use the machine, judging by what runs there (services end only when stopped), by the blacklist and by reservations; and only by tasks that would still run then: 1.5 times their expected run time against the expected rest of what is in the way. The long path takes the best machine that isn't left to another job; before, it gave up if the best of all was. When a machine becomes available is in a module of its own (machine_availability.c, out of backfill_reservation.c).

Why high ranks keep their protection: wherever room can come in time, the rule is as it was (core/backfill_yields, unchanged but for a const), and what may go first is gone by then.

--- a/src/core/scheduling/backfill_reservation.c
+++ b/src/core/scheduling/backfill_reservation.c
@@ -1,5 +1,6 @@
 #include "core/scheduling/backfill_reservation.h"
 
+#include "core/scheduling/machine_availability.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/team_quota.h"
 
@@ -12,10 +13,6 @@
  * allows a start */
 #define RESERVING_JOBS_MAX 3
 #define MACHINES_PER_JOB_MAX 32
-#define RUN_TIME_MARGIN 1.5 /* most tasks end within this multiple of the expected run time */
-/* a stopping task is expected to end within this time; any other task is expected to run on for at least this
- * long */
-#define STOPPING_S 1.0
 #define LOGGED_JOBS_MAX 5
 
 typedef struct {
@@ -60,68 +57,7 @@
   return fk_backfill_reservation_aged_s(c, job) > 0;
 }
 
-/* ------------------------------------------------------------------ where capacity becomes free soonest */
-
-/* Capacity that is expected to become free in `in_s` seconds. */
-typedef struct {
-  double in_s, cpus, gpus, mem_gb;
-} Release;
-
-static int compare_by_time(gconstpointer a, gconstpointer b) {
-  const Release *x = a, *y = b;
-  return x->in_s < y->in_s ? -1 : x->in_s > y->in_s;
-}
-
-/* Returns whether a task of `spec` fits the machine once the released capacity is free. */
-static gboolean fits(const FkInstanceType *type, const FkMachine *machine, const Release *released,
-                     const FkSpec *spec) {
-  return machine->allocated_cpus + machine->reserved_cpus - released->cpus + spec->cpus <=
-             type->cpus + FK_AMOUNT_EPSILON &&
-         machine->allocated_gpus + machine->reserved_gpus - released->gpus + spec->gpus <=
-             type->gpus + FK_AMOUNT_EPSILON &&
-         machine->allocated_mem_gb + machine->reserved_mem_gb - released->mem_gb + spec->mem_gb <=
-             type->mem_gb + FK_AMOUNT_EPSILON;
-}
-
-/* Returns the expected releases (Release) of the machine's tasks, the earliest first. Services are left out
- * unless they are stopping: they run until they are stopped. */
-static GArray *expected_releases(FkController *c, const FkMachine *machine) {
-  GArray *releases = g_array_new(FALSE, FALSE, sizeof(Release));
-  for (guint i = 0; i < machine->allocations->len; i++) {
-    const FkAllocationRef *allocation = &g_array_index(machine->allocations, FkAllocationRef, i);
-    const FkSpec *spec = allocation->job->spec;
-    gboolean stopping = allocation->stop_requested || allocation->job->cancelled;
-    if (spec->shape == FK_SHAPE_SERVICE && !stopping)
-      continue;
-    double in_s = STOPPING_S;
-    if (!stopping)
-      in_s = MAX(STOPPING_S, RUN_TIME_MARGIN * fk_view_expected_run_s(c->view, spec) -
-                                 fk_time_between(allocation->first_seen_at, c->now));
-    Release release = {in_s, spec->cpus, spec->gpus, spec->mem_gb};
-    g_array_append_val(releases, release);
-  }
-  g_array_sort(releases, compare_by_time);
-  return releases;
-}
-
-/* Returns the expected seconds until the machine has capacity for a task of `spec` if nothing more is placed
- * on the machine; G_MAXDOUBLE if its expected releases don't suffice. */
-static double available_in_s(FkController *c, const FkMachine *machine, const FkSpec *spec) {
-  const FkInstanceType *type = fk_machine_type(c, machine);
-  Release total = {0};
-  if (fits(type, machine, &total, spec))
-    return 0;
-  g_autoptr(GArray) releases = expected_releases(c, machine);
-  for (guint i = 0; i < releases->len; i++) {
-    const Release *release = &g_array_index(releases, Release, i);
-    total.cpus += release->cpus;
-    total.gpus += release->gpus;
-    total.mem_gb += release->mem_gb;
-    if (fits(type, machine, &total, spec))
-      return release->in_s;
-  }
-  return G_MAXDOUBLE;
-}
+/* ------------------------------------------------------------------ candidates */
 
 typedef struct {
   const FkMachine *machine;
@@ -152,7 +88,7 @@
     const FkMachine *machine = value;
     if (!can_be_reserved(c, machine, zone) || !fk_placement_is_allowed(c, job, machine))
       continue;
-    Candidate candidate = {machine, available_in_s(c, machine, job->spec)};
+    Candidate candidate = {machine, fk_machine_available_in_s(c, machine, job->spec, FK_RUN_TIME_MARGIN)};
     if (candidate.available_in_s < G_MAXDOUBLE)
       g_array_append_val(candidates, candidate);
   }
@@ -261,7 +197,7 @@
   if (!reservation || g_str_equal(reservation->job, job->spec->id) || precedes_holder(job, reservation) ||
       !find_waiting_holder(c, reservation))
     return FALSE;
-  double run_s = RUN_TIME_MARGIN * fk_view_expected_run_s(c->view, job->spec);
+  double run_s = FK_RUN_TIME_MARGIN * fk_view_expected_run_s(c->view, job->spec);
   return job->spec->shape != FK_SHAPE_ARRAY ||
          !fk_time_reached(reservation->available_at, fk_time_add(c->now, run_s));
 }
--- a/src/core/scheduling/long_path.c
+++ b/src/core/scheduling/long_path.c
@@ -60,19 +60,28 @@
          fk_time_between((FkTime){job->startable_us}, c->now) > c->settings->tuning.max_wait_s;
 }
 
+gboolean fk_long_path_is_blacklisted(FkController *c, const FkJob *job, const FkMachine *machine) {
+  return machine->blacklisted && fk_spec_is_long(c, job->spec) && !ignores_blacklist(c, job);
+}
+
+/* Returns whether the machine's free capacity is kept for other jobs. Gangs only respect reservations: they
+ * are placed as a whole or not at all. */
+static gboolean is_kept_for_others(FkController *c, const FkJob *job, FkMachine *machine) {
+  return job->spec->shape == FK_SHAPE_GANG ? fk_backfill_reservation_blocks(c, job, machine)
+                                           : fk_scheduling_queue_must_yield(c, job, machine);
+}
+
 FkMachine *fk_long_path_best_machine(FkController *c, const FkJob *job, GPtrArray *machines,
                                      const char *zone) {
   FkMachine *best = NULL;
   double best_cost = 0;
   for (guint i = 0; i < machines->len; i++) {
     FkMachine *machine = machines->pdata[i];
-    if ((machine->blacklisted && !ignores_blacklist(c, job)) ||
-        (zone && !g_str_equal(zone, machine->record->zone)) ||
-        !fk_placement_fits_machine(c, machine, job->spec) || !fk_placement_is_allowed(c, job, machine) ||
-        fk_backfill_reservation_blocks(c, job, machine))
+    if (fk_long_path_is_blacklisted(c, job, machine) || (zone && !g_str_equal(zone, machine->record->zone)) ||
+        !fk_placement_fits_machine(c, machine, job->spec) || !fk_placement_is_allowed(c, job, machine))
       continue;
     double cost = machine_cost(c, job, machine) + (machine->blacklisted ? BLACKLISTED_COST : 0);
-    if (!best || cost < best_cost) {
+    if ((!best || cost < best_cost) && !is_kept_for_others(c, job, machine)) {
       best = machine;
       best_cost = cost;
     }
@@ -226,8 +235,7 @@
     if (!best && !job->has_failed)
       g_ptr_array_add(cycle->unplaceable, job->spec);
   }
-  return best && !fk_scheduling_queue_must_yield(c, job, best) &&
-         (job->urgent || fk_service_reserve_permits(c, best, job->spec, &cycle->spare_slots)) &&
+  return best && (job->urgent || fk_service_reserve_permits(c, best, job->spec, &cycle->spare_slots)) &&
          fk_launch_batch_allocate(c, batch, job, best);
 }
 
--- a/src/core/scheduling/long_path.h
+++ b/src/core/scheduling/long_path.h
@@ -8,6 +8,9 @@
  * zone); NULL if no machine is suitable now. */
 FkMachine *fk_long_path_best_machine(FkController *c, const FkJob *job, GPtrArray *machines,
                                      const char *zone);
+/* Returns whether the blacklist keeps the job off the machine: the machine is blacklisted, the job is long,
+ * and it may not use such machines as a last resort yet. */
+gboolean fk_long_path_is_blacklisted(FkController *c, const FkJob *job, const FkMachine *machine);
 /* Adds tasks of services, gangs and long arrays among `jobs` to the batch, as many as can be placed. Only the
  * leader calls this function. */
 void fk_long_path_place(FkController *c, FkLaunchBatch *batch, GPtrArray *jobs, GPtrArray *machines);
--- a/src/core/scheduling/scheduling_queue.c
+++ b/src/core/scheduling/scheduling_queue.c
@@ -1,6 +1,8 @@
 #include "core/scheduling/scheduling_queue.h"
 
 #include "core/scheduling/backfill_reservation.h"
+#include "core/scheduling/long_path.h"
+#include "core/scheduling/machine_availability.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/starvation.h"
 #include "core/scheduling/team_quota.h"
@@ -24,6 +26,11 @@
 /* a job that is known for a shorter time doesn't count as blocked: it may still find capacity without other
  * jobs yielding */
 #define BLOCKED_AFTER_S 1.0
+/* Seconds for which a machine's free capacity is left to blocked jobs while nothing starts or ends there:
+ * less than the 90 s for which a job may wait beside a machine with room. */
+#define YIELD_MAX_S 60.0
+/* a pause of this many seconds in which no job had to yield on a machine begins YIELD_MAX_S anew */
+#define YIELD_GAP_S 5.0
 /* once this share of a class is served, no expensive machines are provisioned for its other jobs */
 #define SERVICE_LEVEL_SUFFICIENT 0.5
 
@@ -201,6 +208,46 @@
   }
 }
 
+/* Returns the expected seconds until the machine has capacity for a task of the blocked job; G_MAXDOUBLE if
+ * the job can't use the machine. Tasks are expected to end on time, sooner than a reservation assumes, so
+ * that few tasks are placed in the blocked job's way. */
+static double usable_in_s(FkController *c, const FkJob *blocked, const FkMachine *machine) {
+  if (!fk_job_waiting_tasks(blocked) || !fk_placement_is_allowed(c, blocked, machine) ||
+      fk_long_path_is_blacklisted(c, blocked, machine) || fk_backfill_reservation_blocks(c, blocked, machine))
+    return G_MAXDOUBLE;
+  return fk_machine_available_in_s(c, machine, blocked->spec, 1);
+}
+
+/* Returns the expected seconds until one of the blocked jobs can use the machine, and sets `blocked` to that
+ * job; G_MAXDOUBLE and NULL if none can. Computed once a cycle for each machine. */
+static double blocked_job_usable_in_s(FkController *c, FkMachine *machine, const FkJob **blocked) {
+  const FkSchedulingQueue *queue = c->leader.scheduling_queue;
+  if (machine->yield.cycle != queue->cycle) {
+    machine->yield.cycle = queue->cycle;
+    machine->yield.usable_in_s = G_MAXDOUBLE;
+    for (guint i = 0; i < queue->blocked->len; i++) {
+      double in_s = usable_in_s(c, queue->blocked->pdata[i], machine);
+      if (in_s < machine->yield.usable_in_s) {
+        machine->yield.usable_in_s = in_s;
+        machine->yield.blocked_index = i;
+      }
+    }
+  }
+  *blocked =
+      machine->yield.usable_in_s < G_MAXDOUBLE ? queue->blocked->pdata[machine->yield.blocked_index] : NULL;
+  return machine->yield.usable_in_s;
+}
+
+/* Returns whether the machine's free capacity has been left to blocked jobs for so long, with nothing started
+ * or ended there, that others may use it. */
+static gboolean yield_has_expired(FkController *c, FkMachine *machine) {
+  FkYield *yield = &machine->yield;
+  if (!yield->since.us || fk_time_between(yield->last_at, c->now) > YIELD_GAP_S)
+    yield->since = c->now;
+  yield->last_at = c->now;
+  return fk_time_between(yield->since, c->now) > YIELD_MAX_S;
+}
+
 /* Counts for the window's log that free capacity was left to the blocked job. */
 static void count_yield(FkController *c, const FkJob *blocked) {
   const char *id = blocked->spec->id;
@@ -208,21 +255,20 @@
   g_hash_table_insert(c->launches.yields, g_strdup(id), GUINT_TO_POINTER(times + 1));
 }
 
-gboolean fk_scheduling_queue_must_yield(FkController *c, const FkJob *job, const FkMachine *machine) {
-  const GPtrArray *blocked = c->leader.scheduling_queue->blocked;
+gboolean fk_scheduling_queue_must_yield(FkController *c, const FkJob *job, FkMachine *machine) {
   if (fk_backfill_reservation_blocks(c, job, machine))
     return TRUE;
   if (job->effective_priority <= FK_JOB_PRIORITY_NORMAL || job->urgent ||
-      job->spec->shape == FK_SHAPE_SERVICE)
+      job->spec->shape == FK_SHAPE_SERVICE || !c->leader.scheduling_queue->blocked->len)
     return FALSE;
-  for (guint i = 0; i < blocked->len; i++) {
-    const FkJob *first = blocked->pdata[i];
-    if (fk_job_waiting_tasks(first) && fk_placement_is_allowed(c, first, machine)) {
-      count_yield(c, first);
-      return TRUE;
-    }
-  }
-  return FALSE;
+  const FkJob *blocked;
+  double usable_in_s = blocked_job_usable_in_s(c, machine, &blocked);
+  double run_s = FK_RUN_TIME_MARGIN * fk_view_expected_run_s(c->view, job->spec);
+  gboolean ends_before = job->spec->shape == FK_SHAPE_ARRAY && run_s <= usable_in_s;
+  if (!blocked || ends_before || yield_has_expired(c, machine))
+    return FALSE;
+  count_yield(c, blocked);
+  return TRUE;
 }
 
 const FkJob *fk_scheduling_queue_first_blocked(FkController *c) {
--- a/src/core/scheduling/scheduling_queue.h
+++ b/src/core/scheduling/scheduling_queue.h
@@ -24,10 +24,12 @@
 guint64 fk_scheduling_queue_refreshed_count(const FkSchedulingQueue *queue);
 /* Returns whether the job must leave the machine's free capacity to another job: to the holder of a backfill
  * reservation or, if the job's priority is below normal and it is neither urgent nor a service, to a blocked
- * array of normal or higher priority. Without this rule, small tasks of a low priority fill every gap as it
- * opens, and larger ones never start: with 7,000 tasks of two CPUs waiting, arrays of four-CPU tasks waited
- * for 400 s. */
-gboolean fk_scheduling_queue_must_yield(FkController *c, const FkJob *job, const FkMachine *machine);
+ * array of normal or higher priority that is expected to be able to use the machine before a task of the job
+ * would have ended there. Capacity that a blocked job can't use isn't left to it, and none is left for longer
+ * than a minute in which nothing starts or ends on the machine. Without this rule, small tasks of a low
+ * priority fill every gap as it opens, and larger ones never start: with 7,000 tasks of two CPUs waiting,
+ * arrays of four-CPU tasks waited for 400 s. */
+gboolean fk_scheduling_queue_must_yield(FkController *c, const FkJob *job, FkMachine *machine);
 /* Returns whether no expensive machine may be provisioned for the job. This applies only to arrays without a
  * deadline whose team has no guarantee and whose class has no objective, and only while at least half of the
  * class is served and the job's priority isn't raised because of starvation. The job may still run on
--- a/src/core/scheduling/short_path.c
+++ b/src/core/scheduling/short_path.c
@@ -330,7 +330,7 @@
       continue;
     if (prefer_spot && !machine->record->spot && job->spec->spot && !rotation_is_complete(c, job))
       continue;
-    if (fk_scheduling_queue_must_yield(c, job, machine))
+    if (!fk_placement_fits_machine(c, machine, job->spec) || fk_scheduling_queue_must_yield(c, job, machine))
       continue;
     gboolean placed;
     do
--- a/src/core/state/view.h
+++ b/src/core/state/view.h
@@ -68,6 +68,15 @@
   FkTime removal_write_due; /* when to write the removal of machines; 0 if none is pending */
 } FkShard;
 
+/* How a machine's free capacity is left to blocked jobs (scheduling/scheduling_queue.h). */
+typedef struct {
+  guint64 cycle;       /* the scheduling cycle in which `usable_in_s` was computed; 0 if none */
+  double usable_in_s;  /* expected seconds until a blocked job can use the machine; G_MAXDOUBLE if none can */
+  guint blocked_index; /* index of that job in the cycle's list of blocked jobs */
+  FkTime since;        /* since when capacity is left while nothing starts or ends here; 0 if it isn't */
+  FkTime last_at;      /* when capacity was last left */
+} FkYield;
+
 /* A machine, with the state that the view, the shard's owner and the scheduler keep of the machine. */
 typedef struct {
   const char *id;          /* interned */
@@ -97,8 +106,9 @@
   FkTime full_until;         /* until then no task is launched here, because the worker was full or busy */
   FkWorkerState *worker;     /* state kept by the shard's owner; NULL if this controller keeps none */
   GDestroyNotify worker_state_free; /* frees `worker` */
-  GHashTable *images;               /* interned: images of tasks that were allocated to the machine */
-  GPtrArray *probes; /* FkJob, with references: short jobs that placed probes here; NULL before the first */
+  FkYield yield;
+  GHashTable *images; /* interned: images of tasks that were allocated to the machine */
+  GPtrArray *probes;  /* FkJob, with references: short jobs that placed probes here; NULL before the first */
 } FkMachine;
 
 /* A live controller. */
--- a/src/core/state/view_chunks.c
+++ b/src/core/state/view_chunks.c
@@ -47,6 +47,7 @@
       machine->idle_since = v->now;
     }
   }
+  machine->yield.since.us = 0;
   job->allocated += (guint32)sign;
   fk_view_mark_job_changed(v, job);
   v->allocation_updates++;
--- a/test/test_core.c
+++ b/test/test_core.c
@@ -655,7 +655,7 @@
     r->c->now = fk_time_add(r->now, cases[i].waited_s);
     fk_view_find_job(v, "run-first")->failing = cases[i].failing;
     g_autoptr(GPtrArray) jobs = fk_scheduling_queue_select_jobs(r->c);
-    const FkMachine *m = fk_view_find_machine(v, "i-1");
+    FkMachine *m = fk_view_find_machine(v, "i-1");
     g_assert_cmpuint(jobs->len, ==, 2);
     g_assert_cmpint(fk_scheduling_queue_must_yield(r->c, fk_view_find_job(v, "run-low"), m), ==,
                     cases[i].yields);
