Let a job that has begun age while none of its tasks runs

A job of which a task is done was never aged: no machine was reserved for its other tasks, and its priority wasn't raised, however long none of them ran.

Cause: fk_backfill_reservation_aged_s() left out jobs of which a task is allocated or done, since it watches the start of jobs.

Change: only a job of which a task is allocated (or that fails) is left out. One of which tasks are done ages from the end of its last allocation, as far as this controller has seen (after a restart: since it knows the job). A job that hasn't begun ages from when it could start, as before.

--- a/src/core/scheduling/backfill_reservation.c
+++ b/src/core/scheduling/backfill_reservation.c
@@ -45,12 +45,16 @@
 
 /* ------------------------------------------------------------------ aging */
 
+/* Returns for how many seconds the job has waited without a task running: since it could start or, if some of
+ * its tasks are done, since its last allocation ended, as far as this controller has seen. */
 static double waited_s(FkController *c, const FkJob *job) {
-  return fk_time_between((FkTime){job->startable_us}, c->now);
+  if (!job->done)
+    return fk_time_between((FkTime){job->startable_us}, c->now);
+  return fk_time_between(job->unallocated_since.us ? job->unallocated_since : job->first_seen_at, c->now);
 }
 
 double fk_backfill_reservation_aged_s(FkController *c, const FkJob *job) {
-  return job->allocated || job->done || job->failing ? -1 : waited_s(c, job) - AGED_SHARE * START_DEADLINE_S;
+  return job->allocated || job->failing ? -1 : waited_s(c, job) - AGED_SHARE * START_DEADLINE_S;
 }
 
 gboolean fk_backfill_reservation_is_aged(FkController *c, const FkJob *job) {
--- a/src/core/state/live_job.h
+++ b/src/core/state/live_job.h
@@ -18,12 +18,13 @@
   FkChunk **chunks;        /* stored chunks with the view's completions applied; NULL as in `base_chunks` */
   guint32 done, allocated; /* numbers of tasks */
   guint32 first_waiting_chunk_hint; /* no chunk before this index has a waiting task */
-  FkTime first_seen_at;   /* when this controller first saw the job; reset when the job stops being blocked */
-  FkTime attempt_lost_at; /* when an attempt of the job last ended without a result; 0 if none */
-  FkTime retry_at;        /* end of the job's backoff; 0 if there was none */
-  gboolean has_failed;    /* an attempt has failed */
-  gboolean failing;       /* the job seems to fail on every machine; see fk_job_waiting_tasks() */
-  FkTime last_trial_at;   /* when a scheduling cycle last tried to start a task while `failing` */
+  FkTime first_seen_at; /* when this controller first saw the job; reset when the job stops being blocked */
+  FkTime unallocated_since;  /* when the last of the job's allocations ended; 0 if not seen */
+  FkTime attempt_lost_at;    /* when an attempt of the job last ended without a result; 0 if none */
+  FkTime retry_at;           /* end of the job's backoff; 0 if there was none */
+  gboolean has_failed;       /* an attempt has failed */
+  gboolean failing;          /* the job seems to fail on every machine; see fk_job_waiting_tasks() */
+  FkTime last_trial_at;      /* when a scheduling cycle last tried to start a task while `failing` */
   guint64 wait_times_window; /* number of the statistics window of `wait_times_counted` */
   guint wait_times_counted;  /* number of the job's waits added to FkWaitTimes in `wait_times_window` */
   FkAttempt gang_attempt;    /* attempt number of the gang launch in progress */
--- a/src/core/state/view_chunks.c
+++ b/src/core/state/view_chunks.c
@@ -49,6 +49,8 @@
   }
   machine->yield.since.us = 0;
   job->allocated += (guint32)sign;
+  if (!job->allocated)
+    job->unallocated_since = v->now;
   fk_view_mark_job_changed(v, job);
   v->allocation_updates++;
   fk_view_mark_machine_changed(v, machine);
--- a/test/test_capacity_yields.c
+++ b/test/test_capacity_yields.c
@@ -186,11 +186,48 @@
   rig_free(r);
 }
 
+/* A job that has begun, but has had no task running for long, ages as one that hasn't begun does: machines
+ * are reserved for it, so that low ranks don't fill each gap before it. */
+static void test_begun_job_ages(void) {
+  static const struct {
+    const char *what, *chunk; /* the job's chunk once its first task has ended */
+    double waited_s;          /* since then */
+    gboolean failing, aged;
+  } cases[] = {
+      {"none runs, for a short time", "{\"f\":0,\"n\":4,\"a\":2,\"d\":\"1\",\"b\":[]}", 100, FALSE, FALSE},
+      {"none runs, for long", "{\"f\":0,\"n\":4,\"a\":2,\"d\":\"1\",\"b\":[]}", 140, FALSE, TRUE},
+      {"none runs, and the job fails", "{\"f\":0,\"n\":4,\"a\":2,\"d\":\"1\",\"b\":[]}", 140, TRUE, FALSE},
+      {"another runs", "{\"f\":0,\"n\":4,\"a\":3,\"d\":\"1\",\"b\":[[1,2,\"i-1\",\"c-0\"]]}", 140, FALSE,
+       FALSE},
+  };
+  const TestJob begun = {FK_SHAPE_ARRAY, FK_JOB_PRIORITY_NORMAL, 6, 1, 10, "false"};
+  for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+    g_test_message("%s", cases[i].what);
+    Rig *r = rig_with_jobs(&low_job, &begun);
+    find_job(r, "run-low")->cancelled = TRUE;
+    r->now = fk_time_add(r->now, 300); /* the job was submitted long ago */
+    allocate(r, "run-first", "i-1");
+    r->now = fk_time_add(r->now, 10);
+    watched(r, (const char *const[]){"fk/l/t/run-first/00000", cases[i].chunk, NULL});
+    FkJob *job = find_job(r, "run-first");
+    job->failing = cases[i].failing;
+    r->c->now = fk_time_add(r->now, cases[i].waited_s);
+    g_assert_cmpint(fk_backfill_reservation_is_aged(r->c, job), ==, cases[i].aged);
+    if (cases[i].aged) {
+      select_jobs(r);
+      const FkJob *holder = fk_backfill_reservation_holder(r->c, find_machine(r, "i-1"));
+      g_assert_true(holder == job);
+    }
+    rig_free(r);
+  }
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
   g_test_add_func("/capacity_yields/room_that_does_not_come", test_room_that_does_not_come);
   g_test_add_func("/capacity_yields/yields_end", test_yields_end);
   g_test_add_func("/capacity_yields/long_path_next_machine", test_long_path_next_machine);
+  g_test_add_func("/capacity_yields/begun_job_ages", test_begun_job_ages);
   return g_test_run();
 }
