--- a/src/core/scheduling/backfill_reservation.h
+++ b/src/core/scheduling/backfill_reservation.h
@@ -10,9 +10,9 @@
 FkBackfillReservations *fk_backfill_reservation_new(void);
 void fk_backfill_reservation_free(FkBackfillReservations *reservations);
 
-/* Returns whether the job is aged: none of its tasks is allocated, the job isn't failing, and more than 55% of
- * the start deadline (240 s) has passed since the job could start or, if some of its tasks are done, since the
- * last of its allocations ended. */
+/* Returns whether the job is aged: none of its tasks is allocated, the job isn't failing, and more than 55%
+ * of the start deadline (240 s) has passed since the job could start or, if some of its tasks are done, since
+ * the last of its allocations ended. */
 gboolean fk_backfill_reservation_is_aged(FkController *c, const FkJob *job);
 /* Returns for how many seconds the job has been aged; 0 or less if the job isn't aged. */
 double fk_backfill_reservation_aged_s(FkController *c, const FkJob *job);
--- a/src/wire/store_records.c
+++ b/src/wire/store_records.c
@@ -380,6 +380,28 @@
   return cJSON_CreateObject();
 }
 
+/* Reads the record of a controller's presence, of a shard or of the leader. Returns FALSE if it lacks a
+ * field. */
+static gboolean owner_from_json(FkRecord *record, const cJSON *json) {
+  gboolean is_node = record->kind == FK_STORE_KEY_NODE;
+  const cJSON *unreachable = is_node ? fk_json_get(json, "unreachable") : NULL;
+  record->node = g_strdup(fk_json_str(json, "node"));
+  record->incarnation = g_strdup(fk_json_str(json, "life"));
+  if (unreachable)
+    strings_from_json(unreachable, &record->unreachable_zones);
+  return record->incarnation && (is_node || record->node);
+}
+
+/* Records of earlier versions lack the sums over all waits. */
+static void wait_times_from_json(FkWaitTimes *waits, const cJSON *json) {
+  fk_json_u64(json, "window", &waits->window);
+  waits->capped_sum_s = fk_json_num_or(json, "sum", 0);
+  fk_json_u64(json, "count", &waits->capped_count);
+  waits->sum_s = fk_json_num_or(json, "all_sum", waits->capped_sum_s);
+  if (!fk_json_u64(json, "all_count", &waits->count))
+    waits->count = waits->capped_count;
+}
+
 FkRecord *fk_store_record_from_json(const char *path, const cJSON *json) {
   g_autofree char *id = NULL;
   guint32 chunk;
@@ -413,21 +435,12 @@
     record->ended_at_ms = (gint64)fk_json_num_or(json, "at", 0);
     break;
   case FK_STORE_KEY_WAIT_TIMES:
-    fk_json_u64(json, "window", &record->wait_times.window);
-    record->wait_times.capped_sum_s = fk_json_num_or(json, "sum", 0);
-    fk_json_u64(json, "count", &record->wait_times.capped_count);
-    record->wait_times.sum_s = fk_json_num_or(json, "all_sum", record->wait_times.capped_sum_s);
-    if (!fk_json_u64(json, "all_count", &record->wait_times.count))
-      record->wait_times.count = record->wait_times.capped_count;
+    wait_times_from_json(&record->wait_times, json);
     break;
   case FK_STORE_KEY_NODE:
   case FK_STORE_KEY_LEADER:
   case FK_STORE_KEY_SHARD:
-    record->node = g_strdup(fk_json_str(json, "node"));
-    record->incarnation = g_strdup(fk_json_str(json, "life"));
-    if (record->kind == FK_STORE_KEY_NODE && fk_json_get(json, "unreachable"))
-      strings_from_json(fk_json_get(json, "unreachable"), &record->unreachable_zones);
-    if (!record->incarnation || (record->kind != FK_STORE_KEY_NODE && !record->node))
+    if (!owner_from_json(record, json))
       return NULL;
     break;
   case FK_STORE_KEY_TEAM:
