Count a machine's free slots by memory and GPUs too when sampling

Cause: keep_preferred_machines() cut the list of open machines once they had enough slots, counted by the CPUs of the job with the most CPUs alone.

Change: a slot has the CPUs, GPUs and memory for a task of any of the controller's waiting short jobs.

--- a/src/core/scheduling/short_path.c
+++ b/src/core/scheduling/short_path.c
@@ -11,8 +11,8 @@
 #include <string.h>
 
 #define PROBES_PER_MACHINE_MAX 24
-/* number of free slots that the sampled machines must have for each wanted probe; a slot has the CPUs for one
- * task of the job with the largest tasks */
+/* number of free slots that the sampled machines must have for each wanted probe; a slot has the CPUs, GPUs
+ * and memory for one task of any of the jobs */
 #define SAMPLED_SLOTS_PER_PROBE 1.5
 #define SAMPLED_MACHINES_MIN 16 /* minimum number of sampled machines */
 #define STEAL_ROTATION_S 0.5    /* length of a controller's turn to take tasks of other owners' jobs */
@@ -221,10 +221,10 @@
 
 /* The demand of this controller's waiting short jobs for sampled machines. */
 typedef struct {
-  double probes;          /* wanted probes of all jobs */
-  const FkSpec *largest;  /* spec with the most CPUs per task (borrowed); NULL if there are no jobs */
-  gboolean constrained;   /* some jobs restrict the types or zones of their machines */
-  gboolean ordinary_only; /* some jobs may not use spot machines */
+  double probes;             /* wanted probes of all jobs; 0 if there are no jobs */
+  double cpus, gpus, mem_gb; /* the largest amounts of any task, each for itself */
+  gboolean constrained;      /* some jobs restrict the types or zones of their machines */
+  gboolean ordinary_only;    /* some jobs may not use spot machines */
 } SamplingDemand;
 
 static SamplingDemand sampling_demand(FkController *c, GPtrArray *jobs) {
@@ -237,38 +237,47 @@
     demand.probes += fk_job_waiting_tasks(job) * c->settings->tuning.probe_ratio;
     demand.constrained |= spec->zone || spec->types || spec->one_zone || spec->spread;
     demand.ordinary_only |= !spec->spot;
-    if (!demand.largest || spec->cpus > demand.largest->cpus)
-      demand.largest = spec;
+    demand.cpus = MAX(demand.cpus, spec->cpus);
+    demand.gpus = MAX(demand.gpus, spec->gpus);
+    demand.mem_gb = MAX(demand.mem_gb, spec->mem_gb);
   }
   return demand;
 }
 
-static double free_slots(FkController *c, const FkMachine *machine, const FkSpec *spec) {
+static double slots(double free_amount, double amount) {
+  return amount > 0 ? floor(free_amount / amount + FK_AMOUNT_EPSILON) : G_MAXDOUBLE;
+}
+
+/* Returns how many tasks with the largest amounts fit the machine's free capacity. */
+static double free_slots(FkController *c, const FkMachine *machine, const SamplingDemand *demand) {
   const FkInstanceType *type = fk_machine_type(c, machine);
-  if (!type || spec->cpus <= 0)
+  if (!type)
     return 1;
-  return floor((type->cpus - machine->allocated_cpus - machine->reserved_cpus) / spec->cpus +
-               FK_AMOUNT_EPSILON);
+  double by_cpus = slots(type->cpus - machine->allocated_cpus - machine->reserved_cpus, demand->cpus);
+  double by_gpus = slots(type->gpus - machine->allocated_gpus - machine->reserved_gpus, demand->gpus);
+  double by_mem = slots(type->mem_gb - machine->allocated_mem_gb - machine->reserved_mem_gb, demand->mem_gb);
+  return MAX(0, MIN(by_cpus, MIN(by_gpus, by_mem)));
 }
 
 /* Keeps only the first machines of `open`: as many as have SAMPLED_SLOTS_PER_PROBE free slots for each wanted
  * probe, and at least SAMPLED_MACHINES_MIN. The other machines can then become empty and be terminated. If
  * some job may not use spot machines, spot machines aren't counted. When spot machines were counted, 16 idle
  * spot machines were enough, and a job that may only use ordinary machines waited for 90 s although 12
- * ordinary machines were idle. If some job is constrained, all machines are kept. */
+ * ordinary machines were idle. A machine without the memory or the GPUs for a task has no slot either,
+ * however many CPUs are free. If some job is constrained, all machines are kept. */
 static void keep_preferred_machines(FkController *c, GPtrArray *open, GPtrArray *jobs) {
   const SamplingDemand demand = sampling_demand(c, jobs);
-  if (!demand.largest || demand.constrained)
+  if (demand.probes <= 0 || demand.constrained)
     return;
   guint keep = 0, counted = 0;
-  double slots = 0;
+  double sampled_slots = 0;
   while (keep < open->len &&
-         (counted < SAMPLED_MACHINES_MIN || slots < SAMPLED_SLOTS_PER_PROBE * demand.probes)) {
+         (counted < SAMPLED_MACHINES_MIN || sampled_slots < SAMPLED_SLOTS_PER_PROBE * demand.probes)) {
     const FkMachine *machine = open->pdata[keep++];
     if (machine->record->spot && demand.ordinary_only)
       continue;
     counted++;
-    slots += free_slots(c, machine, demand.largest);
+    sampled_slots += free_slots(c, machine, &demand);
   }
   if (keep < open->len)
     g_ptr_array_set_size(open, (gint)keep);
--- a/test/test_scheduling_cycle.c
+++ b/test/test_scheduling_cycle.c
@@ -351,6 +351,57 @@
   fk_capacity_buckets_free(c);
 }
 
+/* ---- machines that can't run any waiting task ---- */
+
+#define FULLER_MACHINES 18 /* more than a cycle samples at the least */
+#define ROOMY_MACHINES 2
+
+static char *array_value(const char *owner, guint tasks, double cpus, double mem_gb) {
+  return g_strdup_printf("{\"class\":\"c\",\"team\":\"red\",\"shape\":0,\"rank\":2,\"tasks\":%u,\"cpus\":%g,"
+                         "\"gpus\":0,\"mem\":%g,\"image\":\"i\",\"image_gb\":1,\"one_zone\":false,"
+                         "\"spread\":false,\"spot\":false,\"estimate\":10,\"checkpoint\":0,\"save\":0,"
+                         "\"submitted\":1000,\"owner\":\"%s\",\"chunk\":100}",
+                         tasks, cpus, mem_gb, owner);
+}
+
+/* Adds a job with one task on each of `n` machines, from the machine with index `first` on. */
+static void occupy(GPtrArray *lines, const char *job, guint first, guint n, double cpus, double mem_gb) {
+  FkRecord *record = fk_record_new(FK_STORE_KEY_CHUNK);
+  record->chunk = fk_chunk_new(0, n);
+  for (guint i = 0; i < n; i++) {
+    g_autofree char *machine = g_strdup_printf("i-%06u", first + i);
+    fk_chunk_allocate(record->chunk, i, machine, "c-0");
+  }
+  g_autoptr(cJSON) value = fk_store_record_to_json(record);
+  add_line(lines, g_strconcat("fk/l/j/", job, NULL), array_value("c-0", n, cpus, mem_gb));
+  add_line(lines, g_strconcat("fk/l/t/", job, "/00000", NULL), fk_json_print(value));
+  fk_record_free(record);
+}
+
+/* A cycle samples the fuller machines first. Machines without the memory for a waiting task must not keep it
+ * from sampling those that have it: a lost task wasn't started again for 270 s beside two machines with room.
+ */
+static void test_machines_without_memory(void) {
+  Rig *r = rig_new(TRUE);
+  ((FkTeam *)r->s->teams->pdata[0])->max_cpus = AMPLE_QUOTA_CPUS;
+  g_autoptr(GPtrArray) lines = g_ptr_array_new_with_free_func(g_free);
+  add_machines(lines, FULLER_MACHINES + ROOMY_MACHINES);
+  occupy(lines, "run-fuller", 0, FULLER_MACHINES, 6, 26);
+  occupy(lines, "run-roomy", FULLER_MACHINES, ROOMY_MACHINES, 5, 24.5);
+  add_line(lines, g_strdup("fk/l/j/run-waits"), array_value("c-0", 1, 1, 6.5));
+  /* its tasks need little memory, so that the fuller machines count as open, and more CPUs than are free */
+  add_line(lines, g_strdup("fk/l/j/run-wide"), array_value("c-2", 4, 4, 1));
+  g_ptr_array_add(lines, NULL);
+  watched(r, (const char *const *)lines->pdata);
+  fk_view_find_job(fk_controller_view(r->c), "run-1")->cancelled = TRUE;
+  receive_heartbeats(r, FULLER_MACHINES + ROOMY_MACHINES);
+  guint allocated = 0;
+  for (guint i = 0; i < CYCLES && !allocated; i++)
+    allocated = run_cycle(r);
+  g_assert_cmpuint(allocated, ==, 1);
+  rig_free(r);
+}
+
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
   g_test_add_func("/scheduling_cycle/wait_key", test_wait_key);
@@ -362,5 +413,6 @@
   g_test_add_func("/scheduling_cycle/flat_in_jobs", test_cost_independent_of_jobs);
   g_test_add_func("/scheduling_cycle/flat_in_machines", test_cost_independent_of_machines);
   g_test_add_func("/scheduling_cycle/urgent_launch_before_pause", test_high_priority_bypasses_pause);
+  g_test_add_func("/scheduling_cycle/machines_without_memory", test_machines_without_memory);
   return g_test_run();
 }
