Don't mark machines whose termination was confirmed as missing

A machine that the leader has terminated is missing from the cloud's list until its record is removed, 6 s later at the earliest and much later while writes are short.

--- a/src/core/autoscaler/machine_listing.c
+++ b/src/core/autoscaler/machine_listing.c
@@ -53,14 +53,16 @@
 /* Called at the end of a listing. A joined machine that none of its pages has is gone: the cloud took it
  * back. This holds whichever controller owns the machine, and also if the owner hears none of its machines
  * and so can't tell their loss from a partition of its own. The machine is marked as silent. Its termination,
- * which the cloud confirms for a machine that is gone as well, then proves that its tasks have ended. */
+ * which the cloud confirms for a machine that is gone as well, then proves that its tasks have ended. A
+ * machine whose termination has been confirmed is only waiting for the removal of its record. */
 static void mark_missing_machines(FkController *c) {
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init(&iter, c->view->machines);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     FkMachine *machine = value;
-    if (is_silent(machine) || !is_missing(c, machine))
+    if (is_silent(machine) || g_hash_table_contains(c->autoscaling.autoscaler->terminated, machine->id) ||
+        !is_missing(c, machine))
       continue;
     g_message("machine missing from the cloud's list machine=%s spot=%s owner=%s allocations=%u", machine->id,
               machine->record->spot ? "yes" : "no",
--- a/test/test_lost_machines.c
+++ b/test/test_lost_machines.c
@@ -99,6 +99,30 @@
   }
 }
 
+/* A machine that this leader has terminated is missing from the list until its record is removed, and isn't
+ * marked for that: the write would go before those that others wait for. */
+static void test_terminated_machine_missing(void) {
+  Rig *r = rig_new(FALSE);
+  g_autofree char *page = group_key("m");
+  set_leader(r, "c-0", "now");
+  await_list_request(r);
+  watched(r,
+          (const char *const[]){
+              page, "{\"zone\":\"north\",\"m\":[[\"i-1\",\"box8\",\"127.0.0.1:9\",0,\"idle\",-1]]}", NULL});
+  for (guint s = 0; s < 20; s++) {
+    FkOutput *termination = find(r, FK_OUTPUT_TERMINATE, NULL);
+    if (termination)
+      fk_controller_terminate_received(r->c, r->now, termination->call, FK_OUTCOME_OK);
+    tick(r, 1);
+    watched(r, NULL);
+  }
+  reply_with_page(r, FK_OUTCOME_REFUSED, NULL, FALSE);
+  await_list_request(r);
+  reply_with_page(r, FK_OUTCOME_OK, "i-9", FALSE);
+  g_assert_null(fk_view_find_machine(fk_controller_view(r->c), "i-1")->pending_drain_reason);
+  rig_free(r);
+}
+
 /* An instance that was requested, was listed as booting and is missing now isn't counted as capacity. */
 static void test_booting_instance_missing(void) {
   for (guint missing = 0; missing < 2; missing++) {
@@ -252,6 +276,7 @@
   g_test_init(&argc, &argv, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
   g_test_add_func("/lost_machines/missing_from_list", test_missing_from_list);
+  g_test_add_func("/lost_machines/terminated_machine_missing", test_terminated_machine_missing);
   g_test_add_func("/lost_machines/booting_instance_missing", test_booting_instance_missing);
   g_test_add_func("/lost_machines/owner_reports_unreachable_zone", test_owner_reports_unreachable_zone);
   g_test_add_func("/lost_machines/unreachable_machine_is_no_capacity",
