One check of whether a machine is drained as silent

The listing of the cloud's machines had written again what the reconciliation of heartbeats asks: drained as silent, or about to be. fk_machine_is_drained_as_silent() serves both. The comment on silence during an outage is filled anew.

--- a/src/core/autoscaler/machine_listing.c
+++ b/src/core/autoscaler/machine_listing.c
@@ -25,11 +25,6 @@
   return instance;
 }
 
-static gboolean is_silent(const FkMachine *machine) {
-  const char *reason = machine->pending_drain_reason ? machine->pending_drain_reason : machine->drain_reason;
-  return g_strcmp0(reason, FK_DRAIN_REASON_SILENT) == 0;
-}
-
 /* Returns whether a machine that existed at `since` must be in each page of the present listing, unless it is
  * gone: the state that a page shows, however old, is later. */
 static gboolean must_be_listed(FkController *c, FkTime since) {
@@ -61,8 +56,8 @@
   g_hash_table_iter_init(&iter, c->view->machines);
   while (g_hash_table_iter_next(&iter, NULL, &value)) {
     FkMachine *machine = value;
-    if (is_silent(machine) || g_hash_table_contains(c->autoscaling.autoscaler->terminated, machine->id) ||
-        !is_missing(c, machine))
+    if (fk_machine_is_drained_as_silent(machine) ||
+        g_hash_table_contains(c->autoscaling.autoscaler->terminated, machine->id) || !is_missing(c, machine))
       continue;
     g_message("machine missing from the cloud's list machine=%s spot=%s owner=%s allocations=%u", machine->id,
               machine->record->spot ? "yes" : "no",
--- a/src/core/shards/machine_registry.c
+++ b/src/core/shards/machine_registry.c
@@ -70,6 +70,11 @@
   mark_page_dirty(c, machine->shard);
 }
 
+gboolean fk_machine_is_drained_as_silent(const FkMachine *machine) {
+  return g_strcmp0(machine->drain_reason, FK_DRAIN_REASON_SILENT) == 0 ||
+         g_strcmp0(machine->pending_drain_reason, FK_DRAIN_REASON_SILENT) == 0;
+}
+
 void fk_machine_registry_remove(FkController *c, FkMachine *machine) {
   if (!machine->record || !machine->shard)
     return;
--- a/src/core/shards/shards.h
+++ b/src/core/shards/shards.h
@@ -62,6 +62,8 @@
 
 /* Requests that a machine that sends heartbeats be registered, if it isn't registered yet. */
 void fk_machine_registry_add(FkController *c, FkMachine *machine, const FkHeartbeat *heartbeat);
+/* Returns whether the machine is drained as silent, or a request for this is still to be written. */
+gboolean fk_machine_is_drained_as_silent(const FkMachine *machine);
 /* Requests that a registered machine be drained for `reason`, or no longer be drained if `reason` is NULL. A
  * later fk_machine_registry_tick writes the change. `notice_s`: seconds until the cloud terminates the
  * machine, < 0 if the cloud gave no notice. */
--- a/src/core/workers/reconciliation.c
+++ b/src/core/workers/reconciliation.c
@@ -149,11 +149,6 @@
   fk_machine_registry_set_drain_reason(c, machine, reason, notice_s);
 }
 
-static gboolean is_drained_as_silent(const FkMachine *machine) {
-  return g_strcmp0(machine->drain_reason, FK_DRAIN_REASON_SILENT) == 0 ||
-         g_strcmp0(machine->pending_drain_reason, FK_DRAIN_REASON_SILENT) == 0;
-}
-
 static gboolean is_reachable_again(FkController *c, const FkMachine *machine) {
   const FkFailureDetector *detector = &machine->worker->failure_detector;
   return fk_worker_has_echoed_token(machine) &&
@@ -167,7 +162,7 @@
     fk_reconciliation_set_drain_reason(c, machine, FK_DRAIN_REASON_NOTICE, notice_s);
   else if (fk_fault_attribution_machine_is_faulty(c->view->fault_attribution, machine->id))
     fk_reconciliation_set_drain_reason(c, machine, FK_DRAIN_REASON_FAULTY, -1);
-  else if (is_drained_as_silent(machine) && is_reachable_again(c, machine))
+  else if (fk_machine_is_drained_as_silent(machine) && is_reachable_again(c, machine))
     fk_machine_registry_set_drain_reason(c, machine, NULL, -1);
 }
 
--- a/src/core/workers/zone_reachability.c
+++ b/src/core/workers/zone_reachability.c
@@ -195,10 +195,10 @@
 
 /* The limit is doubled for the only worker of a zone. During an outage the limit is tripled, and some worker
  * of the zone must have been heard from throughout that time, or the worker's lease must have expired long
- * ago. After an outage a zone's workers are heard from
- * again one after the other, and workers that haven't had time to reply must not count as silent. For a
- * worker not heard from since the outage, the limit therefore counts from the end of the outage, and is
- * longer by the duration of the outage, but at most doubled. */
+ * ago. After an outage a zone's workers are heard from again one after the other, and workers that haven't
+ * had time to reply must not count as silent. For a worker not heard from since the outage, the limit
+ * therefore counts from the end of the outage, and is longer by the duration of the outage, but at most
+ * doubled. */
 gboolean fk_worker_is_silent(FkController *c, const FkMachine *machine, const FkZoneReachability *zone) {
   FkTime since = fk_worker_silent_since(machine);
   double silent_s = fk_time_between(since, c->now);
