--- a/test/schedules.c
+++ b/test/schedules.c
@@ -14,3 +14,8 @@
   }
   return s;
 }
+
+void schedule_log_errors_only(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL) || g_getenv("FK_SIM_LOG"))
+    g_log_default_handler(domain, level, text, data);
+}
--- a/test/test_combined_faults.c
+++ b/test/test_combined_faults.c
@@ -984,11 +984,6 @@
   g_assert_cmpuint(broken, ==, 0);
 }
 
-static void log_errors_only(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
-  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL) || g_getenv("FK_SIM_LOG"))
-    g_log_default_handler(domain, level, text, data);
-}
-
 /* What needs nothing new is written by both versions byte for byte alike, and read by both; what is new in a
  * record that the one before reads is passed over by it. */
 static void test_record_formats(void) {
@@ -1042,7 +1037,7 @@
 
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
-  g_log_set_default_handler(log_errors_only, NULL);
+  g_log_set_default_handler(schedule_log_errors_only, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
   for (guint i = 0; i < G_N_ELEMENTS(combined_fault_cases); i++) {
     g_autofree char *path = g_strdup_printf("/combined_faults/%s", combined_fault_cases[i].name);
--- a/test/test_machine_loss.c
+++ b/test/test_machine_loss.c
@@ -57,14 +57,9 @@
   }
 }
 
-static void log_errors_only(const char *domain, GLogLevelFlags level, const char *text, gpointer data) {
-  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL) || g_getenv("FK_SIM_LOG"))
-    g_log_default_handler(domain, level, text, data);
-}
-
 int main(int argc, char **argv) {
   g_test_init(&argc, &argv, NULL);
-  g_log_set_default_handler(log_errors_only, NULL);
+  g_log_set_default_handler(schedule_log_errors_only, NULL);
   g_log_set_always_fatal(G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL);
   for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
     g_autofree char *path = g_strdup_printf("/machine_loss/%s", cases[i].name);
