Make simulated schedules the same on every kind of processor

On arm64 digest_0 to digest_3 failed: 38 of 40 schedules differed from test/data/digests.txt, which was recorded on x86-64.

Cause, in two parts. GLib's g_rand_double_range computes r * end - (r - 1) * begin; where the processor has a fused multiply-add in its base instruction set, as arm64 has, the library is compiled with it (fnmsub in the disassembly of libglib-2.0), and the last digit differs. Flags of our own build can't change that. And the schedules with pipelines drew two random numbers as two arguments of one call, whose order C leaves open: the compiler evaluates them in different orders on the two processors.

Ruled out: exp() in idle_retention.c. It is untouched, and all schedules agree.

--- a/src/core/autoscaler/machine_listing.c
+++ b/src/core/autoscaler/machine_listing.c
@@ -1,6 +1,7 @@
 /* Processes the cloud's list of machines: updates the booting instances, and detects machines that have
  * failed or are gone. The list lags several seconds behind the cloud's other replies, and comes in pages; a
  * listing is the sequence of pages from the first to the last. */
+#include "common/random.h"
 #include "core/autoscaler/autoscaler_internal.h"
 #include "core/controller.h"
 
@@ -124,7 +125,7 @@
     return;
   }
   if (outcome != FK_OUTCOME_OK) {
-    a->next_list_at = fk_time_add(now, g_rand_double_range(c->rand, LIST_RETRY_MIN_S, LIST_RETRY_MAX_S));
+    a->next_list_at = fk_time_add(now, fk_random_uniform(c->rand, LIST_RETRY_MIN_S, LIST_RETRY_MAX_S));
     g_clear_pointer(&a->list_cursor, g_free);
     return;
   }
--- a/src/core/controller.c
+++ b/src/core/controller.c
@@ -1,6 +1,7 @@
 /* The controller: its life cycle, and the order in which its components run on a tick and after a change of
  * the view. */
 #include "core/controller.h"
+#include "common/random.h"
 #include "core/controller_internal.h"
 #include "core/scheduling/backfill_reservation.h"
 #include "core/scheduling/capacity_index.h"
@@ -141,7 +142,7 @@
   c->autoscaling.types_pending = FALSE;
   if (outcome != FK_OUTCOME_OK) {
     c->autoscaling.next_types_query_at =
-        fk_time_add(now, g_rand_double_range(c->rand, TYPES_RETRY_MIN_S, TYPES_RETRY_MAX_S));
+        fk_time_add(now, fk_random_uniform(c->rand, TYPES_RETRY_MIN_S, TYPES_RETRY_MAX_S));
     return;
   }
   c->autoscaling.next_types_query_at = fk_time_add(now, TYPES_INTERVAL_S);
--- a/src/core/scheduling/scheduling_cycle.c
+++ b/src/core/scheduling/scheduling_cycle.c
@@ -2,6 +2,7 @@
  * tasks placed by the cycle are launched by one transaction. */
 #include "core/scheduling/scheduling_cycle.h"
 
+#include "common/random.h"
 #include "core/scheduling/capacity_index.h"
 #include "core/scheduling/launch_batch.h"
 #include "core/scheduling/long_path.h"
@@ -23,7 +24,7 @@
 /* ------------------------------------------------------------------ the launch fence */
 
 static double retry_delay_s(FkController *c) {
-  return g_rand_double_range(c->rand, RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S);
+  return fk_random_uniform(c->rand, RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S);
 }
 
 static void on_fence_result(FkController *c, gpointer data, FkOutcome outcome, FkRev epoch,
--- a/src/core/shards/machine_registry.c
+++ b/src/core/shards/machine_registry.c
@@ -1,6 +1,7 @@
 /* The machine registry: the records in the store that describe each shard's machines. Machines are added,
  * drained and removed. Changes are batched, and one transaction writes the pages of several shards, so that
  * changes of a hundred machines cost only a few writes. */
+#include "common/random.h"
 #include "core/shards/machine_pages.h"
 
 /* Lower and upper bound of the limit on a transaction's writes. The limit follows the unused write budget. */
@@ -23,7 +24,7 @@
 #define RETRY_MAX_S 0.5
 
 FkTime fk_write_retry_at(FkController *c) {
-  return fk_time_add(c->now, g_rand_double_range(c->rand, RETRY_MIN_S, RETRY_MAX_S));
+  return fk_time_add(c->now, fk_random_uniform(c->rand, RETRY_MIN_S, RETRY_MAX_S));
 }
 
 double fk_write_pace_s(FkController *c, guint writes, double share) {
--- a/src/core/store_session/session.c
+++ b/src/core/store_session/session.c
@@ -2,6 +2,7 @@
  * synchronises the view: a paginated list reads the initial state, and a watch applies all later changes. The
  * pages of the list may show different revisions. Therefore the watch replays every change after the revision
  * of the first page, and the view becomes ready when it reaches the highest revision of any page. */
+#include "common/random.h"
 #include "core/controller.h"
 #include "core/controller_internal.h"
 #include "core/scheduling/capacity_index.h"
@@ -84,7 +85,7 @@
     c->store_session.failures++;
     c->store_session.retry_at =
         fk_time_add(now, MIN(LIST_RETRY_MAX_S, LIST_RETRY_STEP_S * c->store_session.failures) *
-                             g_rand_double_range(c->rand, 0.7, 1.3));
+                             fk_random_uniform(c->rand, 0.7, 1.3));
     return;
   }
   c->store_session.failures = 0;
@@ -124,7 +125,7 @@
     return;
   }
   if (outcome != FK_OUTCOME_OK) {
-    send_watch(c, g_rand_double_range(c->rand, WATCH_RETRY_MIN_S, WATCH_RETRY_MAX_S));
+    send_watch(c, fk_random_uniform(c->rand, WATCH_RETRY_MIN_S, WATCH_RETRY_MAX_S));
     return;
   }
   apply_events(c, events);
@@ -147,7 +148,7 @@
 }
 
 static double lease_retry_s(FkController *c) {
-  return g_rand_double_range(c->rand, LEASE_RETRY_MIN_S, LEASE_RETRY_MAX_S);
+  return fk_random_uniform(c->rand, LEASE_RETRY_MIN_S, LEASE_RETRY_MAX_S);
 }
 
 void fk_controller_lease_grant_received(FkController *c, FkTime now, FkOutcome outcome, FkRev lease,
--- a/src/simulation/scale/cloud_stand_in.c
+++ b/src/simulation/scale/cloud_stand_in.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/random.h"
 #include "simulation/scale/addresses.h"
 #include "simulation/scale/heartbeats.h"
 #include "wire/cloud.h"
@@ -36,7 +37,7 @@
                                   guint count) {
   GPtrArray *ids = g_ptr_array_new();
   for (guint i = 0; i < count; i++) {
-    double boot_s = BOOT_S * g_rand_double_range(workers->rand, BOOT_FACTOR_MIN, BOOT_FACTOR_MAX);
+    double boot_s = BOOT_S * fk_random_uniform(workers->rand, BOOT_FACTOR_MIN, BOOT_FACTOR_MAX);
     FkSimulatedWorker *worker = fk_simulated_workers_boot(workers, request->zone, request->spot, boot_s);
     g_ptr_array_add(ids, worker->model.id);
   }
--- a/src/simulation/scale/heartbeats.c
+++ b/src/simulation/scale/heartbeats.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/random.h"
 #include "simulation/scale/addresses.h"
 #include "wire/worker.h"
 
@@ -48,7 +49,7 @@
 
 /* After a reply: soon when the state has changed meanwhile, else after the usual interval with jitter. */
 static void schedule_next(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
-  double jitter = g_rand_double_range(workers->rand, 1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER),
+  double jitter = fk_random_uniform(workers->rand, 1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER),
          interval_s = worker->state_changed ? INTERVAL_S_MIN : workers->plan->heartbeat_s * jitter;
   schedule_heartbeat(workers, worker, MAX(0, interval_s - seconds_since(worker->heartbeat_sent_us)));
 }
@@ -84,7 +85,7 @@
     return;
   }
   worker->controller = controller;
-  schedule_heartbeat(workers, worker, g_rand_double_range(workers->rand, 0, REDIRECT_DELAY_S_MAX));
+  schedule_heartbeat(workers, worker, fk_random_uniform(workers->rand, 0, REDIRECT_DELAY_S_MAX));
 }
 
 /* ------------------------------------------------------------------ heartbeats and replies */
--- a/src/simulation/scale/simulated_workers.c
+++ b/src/simulation/scale/simulated_workers.c
@@ -1,5 +1,6 @@
 #include "simulation/scale/simulated_workers.h"
 
+#include "common/random.h"
 #include "simulation/scale/addresses.h"
 #include "simulation/scale/workload.h"
 
@@ -250,7 +251,7 @@
   worker->model.incarnation = 1;
   worker->model.sequence = worker->model.fencing_token = 0;
   g_hash_table_remove_all(worker->images);
-  schedule_boot(workers, worker, g_rand_double_range(workers->rand, RESTART_S_MIN, RESTART_S_MAX));
+  schedule_boot(workers, worker, fk_random_uniform(workers->rand, RESTART_S_MIN, RESTART_S_MAX));
 }
 
 guint fk_simulated_workers_count(const FkSimulatedWorkers *workers) {
@@ -285,7 +286,7 @@
   guint zones = fk_scale_region_zones(plan, workers->region);
   for (guint i = 0; i < fk_scale_region_workers(plan, workers->region); i++) {
     g_autofree char *zone = fk_scale_zone(workers->region, i % zones);
-    double boot_s = g_rand_double_range(workers->rand, 0, INITIAL_BOOT_S_MAX);
+    double boot_s = fk_random_uniform(workers->rand, 0, INITIAL_BOOT_S_MAX);
     FkSimulatedWorker *worker = fk_simulated_workers_boot(workers, zone, FALSE, boot_s);
     worker->remote = i % plan->worker_processes != workers->process;
     worker->created_us -= (gint64)(INITIAL_AGE_S * 1e6);
--- a/src/simulation/scale/user_stand_in.c
+++ b/src/simulation/scale/user_stand_in.c
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "common/random.h"
 #include "simulation/event_queue.h"
 #include "simulation/scale/addresses.h"
 #include "simulation/scale/event_log.h"
@@ -227,7 +228,7 @@
   fk_metrics_log_add(users->metrics, "accepted", 1);
   schedule(users, POLL_INTERVAL_S, poll, job);
   if (!fk_scale_job_is_urgent(job->spec) && g_rand_double(users->rand) < CANCELLED_SHARE)
-    schedule(users, g_rand_double_range(users->rand, CANCEL_S_MIN, CANCEL_S_MAX), cancel, job);
+    schedule(users, fk_random_uniform(users->rand, CANCEL_S_MIN, CANCEL_S_MAX), cancel, job);
 }
 
 static void submit(gpointer owner, gpointer data);
@@ -273,7 +274,7 @@
 
 /* Intervals vary by half at most, so that runs differ little in load. */
 static double next_interval_s(Users *users, double rate_per_s) {
-  return g_rand_double_range(users->rand, 0.5, 1.5) / rate_per_s;
+  return fk_random_uniform(users->rand, 0.5, 1.5) / rate_per_s;
 }
 
 static double bulk_jobs_per_s(const Users *users) {
--- a/src/simulation/simulation.c
+++ b/src/simulation/simulation.c
@@ -1,4 +1,5 @@
 /* The simulation's run: events, clocks, and what is checked all the time. */
+#include "common/random.h"
 #include "simulation/simulation_internal.h"
 
 #define CLOCK_DRIFT 0.0005 /* the most that the protocol allows */
@@ -36,7 +37,7 @@
 
 gboolean sim_chance(Sim *sim, double probability) { return g_rand_double(sim->rand) < probability; }
 
-double sim_uniform(Sim *sim, double from, double to) { return g_rand_double_range(sim->rand, from, to); }
+double sim_uniform(Sim *sim, double from, double to) { return fk_random_uniform(sim->rand, from, to); }
 
 void sim_violation(Sim *sim, const char *rule, const char *what) {
   if (!sim->result.violation)
--- a/src/simulation/workload.c
+++ b/src/simulation/workload.c
@@ -195,9 +195,10 @@
   stages[4]->submit_after_dependencies = sim_chance(sim, 0.15);
   for (guint i = 0; i < PIPELINE_STAGES; i++)
     sim_user_step(sim, stages[i]);
-  if (sim_chance(sim, 0.2))
-    sim_schedule(sim, sim_uniform(sim, 0.2, 40), sim_user_cancel,
-                 stages[g_rand_int_range(sim->rand, 0, PIPELINE_STAGES)]);
+  if (sim_chance(sim, 0.2)) {
+    SimJob *cancelled = stages[g_rand_int_range(sim->rand, 0, PIPELINE_STAGES)];
+    sim_schedule(sim, sim_uniform(sim, 0.2, 40), sim_user_cancel, cancelled);
+  }
   if (submission_continues(sim))
     sim_schedule(sim, sim_uniform(sim, 0.5, 1.5) / sim->plan.pipelines_per_s, sim_submit_pipelines, NULL);
 }
--- a/test/test_combined_faults.c
+++ b/test/test_combined_faults.c
@@ -3,6 +3,7 @@
  * core: they count from what a user was told, and look at what is on the machines. */
 #include <string.h>
 
+#include "common/random.h"
 #include "schedules.h"
 #include "simulation/simulation.h"
 
@@ -944,7 +945,7 @@
                     s,
                     kind,
                     g_rand_int_range(rand, 0, kind == SIM_FAULT_CRASH || kind == SIM_FAULT_PAUSE ? 4 : 3),
-                    g_rand_double_range(rand, 0.1, 0.6),
+                    fk_random_uniform(rand, 0.1, 0.6),
                     NULL};
 }
 
@@ -964,10 +965,10 @@
       f[n++] = random_fault(rand, first, at);
       f[n++] = random_fault(rand, second, at + apart);
       if (g_rand_int_range(rand, 0, 3)) /* users cancel meanwhile */
-        f[n++] = (SimFault){at + g_rand_double_range(rand, -2, 10), g_rand_double_range(rand, 1, 20),
+        f[n++] = (SimFault){at + fk_random_uniform(rand, -2, 10), fk_random_uniform(rand, 1, 20),
                             SIM_FAULT_CANCEL_BURST};
       if (!g_rand_int_range(rand, 0, 3)) /* and something ends in the middle of it */
-        f[n++] = random_fault(rand, SIM_FAULT_CRASH, at + g_rand_double_range(rand, 0, 30));
+        f[n++] = random_fault(rand, SIM_FAULT_CRASH, at + fk_random_uniform(rand, 0, 30));
       CombinedFaultCase test_case = {.name = "pair",
                                      .run_s = g_rand_int_range(rand, 0, 2) ? 60 : 0,
                                      .fast_restart = g_rand_int_range(rand, 0, 2),
--- a/test/test_decisions.c
+++ b/test/test_decisions.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "common/random.h"
 #include "fair_share/fair_share.h"
 #include "fair_share/quota.h"
 #include "fair_share/service_level.h"
@@ -205,12 +206,12 @@
   for (guint round = 0; round < 3000; round++) {
     FkFairShareDemand c[6];
     guint n = (guint)g_rand_int_range(rand, 1, 7);
-    double scale = pow(10, g_rand_int_range(rand, 0, 9)), capacity = scale * g_rand_double_range(rand, 0, 8),
+    double scale = pow(10, g_rand_int_range(rand, 0, 9)), capacity = scale * fk_random_uniform(rand, 0, 8),
            sum = 0, wanted = 0;
     for (guint i = 0; i < n; i++) {
-      double quota = g_rand_boolean(rand) ? UNLIMITED : scale * g_rand_double_range(rand, 0, 4);
-      c[i] = (FkFairShareDemand){g_rand_boolean(rand) ? 0 : scale * g_rand_double_range(rand, 0, 3), quota,
-                                 scale * g_rand_double(rand), scale * g_rand_double_range(rand, 0, 5), -1};
+      double quota = g_rand_boolean(rand) ? UNLIMITED : scale * fk_random_uniform(rand, 0, 4);
+      c[i] = (FkFairShareDemand){g_rand_boolean(rand) ? 0 : scale * fk_random_uniform(rand, 0, 3), quota,
+                                 scale * g_rand_double(rand), scale * fk_random_uniform(rand, 0, 5), -1};
     }
     fk_fair_share_divide(c, n, capacity);
     double eps = 1e-6 * scale * 10;
@@ -349,12 +350,12 @@
   /* probabilities stay between 0 and 1 at any age, after any history */
   GRand *rand = g_rand_new_with_seed(3);
   for (guint i = 0; i < 2000; i++) {
-    double age = g_rand_double_range(rand, 0, 20);
+    double age = fk_random_uniform(rand, 0, 20);
     if (g_rand_boolean(rand))
-      fk_boot_time_observe_joined(&b, g_rand_double_range(rand, 0, 8));
+      fk_boot_time_observe_joined(&b, fk_random_uniform(rand, 0, 8));
     else
-      fk_boot_time_observe_given_up(&b, g_rand_double_range(rand, 0, 8));
-    double chance = fk_boot_time_join_probability(&b, age, g_rand_double_range(rand, 0, 5));
+      fk_boot_time_observe_given_up(&b, fk_random_uniform(rand, 0, 8));
+    double chance = fk_boot_time_join_probability(&b, age, fk_random_uniform(rand, 0, 5));
     g_assert_true(chance >= 0 && chance <= 1 + 1e-9);
     g_assert_cmpfloat(fk_boot_time_remaining(&b, age), >, 0);
     g_assert_cmpfloat(fk_boot_time_join_probability(&b, age, 5), >=,
