Compare at the store what a launch's choice of a zone has read

Cause: the choice reads the allocations of all of the job's chunks, but a launch was guarded by the chunk that it writes alone, and by records that other launches of the job leave as they are (its record, and the team's where the quota is partitioned). A launch held back by a cut was carried out after the tasks that it had seen had ended and another controller had started one of them elsewhere, in another chunk.

Change (zone_guard.c): launches of `together` and `spread` jobs with several chunks all write the job's last chunk, guarded by its revision, so that any two conflict and each is decided by a view that has the others. While the fence of some controller doesn't say `zones`, they also write the job's record, which guards every launch of any version, and compare each chunk that a launch of the version before could write. Both launch paths, gangs and preemption go through the same function.

--- a/src/core/scheduling/launch_batch.c
+++ b/src/core/scheduling/launch_batch.c
@@ -1,7 +1,9 @@
 #include "core/scheduling/launch_batch.h"
 
 #include "core/scheduling/reservation.h"
+#include "core/scheduling/zone_guard.h"
 
+#define BYTES_PER_KIB 1024
 #define TRANSACTION_BYTES_MAX 40000 /* below the store's limit of 64 KiB */
 #define GUARDS_PER_WRITE_MAX 4      /* limit on a transaction's guards, per write that it may contain */
 #define ALLOCATION_GUARDS 4         /* maximum guards that one task adds: job, chunk, team and shard */
@@ -36,9 +38,18 @@
          (batch->txn->guards->len + ALLOCATION_GUARDS > guards_max || batch->bytes > TRANSACTION_BYTES_MAX);
 }
 
-/* Returns the transaction's copy of chunk `index` of the job. Adds the chunk to the transaction first if
- * necessary. */
-static FkChunk *open_chunk(FkController *c, FkLaunchBatch *batch, const FkJob *job, guint32 index) {
+gboolean fk_launch_batch_record_fits(FkController *c, guint bytes) {
+  return bytes <= MIN(c->settings->current_value_limit_kb * BYTES_PER_KIB, TRANSACTION_BYTES_MAX);
+}
+
+gboolean fk_launch_batch_writes(const FkLaunchBatch *batch, const char *path) {
+  for (guint i = 0; batch->txn && i < batch->txn->writes->len; i++)
+    if (g_str_equal(g_array_index(batch->txn->writes, FkWrite, i).path, path))
+      return TRUE;
+  return FALSE;
+}
+
+FkChunk *fk_launch_batch_open_chunk(FkController *c, FkLaunchBatch *batch, const FkJob *job, guint32 index) {
   char *path = fk_store_key_chunk_path(job->spec->id, index);
   FkChunk *copy = g_hash_table_lookup(batch->chunks, path);
   if (copy) {
@@ -170,14 +181,28 @@
       return;
 }
 
+/* Returns whether the transaction can take one more allocation. `is_open`: the batch already writes the
+ * task's chunk. */
+static gboolean has_room(FkController *c, const FkLaunchBatch *batch, gboolean is_open,
+                         const FkZoneGuardCost *zone) {
+  guint writes = (is_open ? 0 : WRITES_PER_ALLOCATION) + zone->writes;
+  guint guards = (batch->txn ? batch->txn->guards->len : 1) + ALLOCATION_GUARDS + zone->guards;
+  gboolean bytes_fit = !batch->txn || batch->bytes + zone->bytes <= TRANSACTION_BYTES_MAX;
+  return zone->possible && bytes_fit && !fk_launch_batch_is_full(c, batch) &&
+         (!zone->guards || guards <= c->settings->transaction_ops_max * GUARDS_PER_WRITE_MAX) &&
+         (!writes || has_writes_left(c, batch, writes));
+}
+
 gboolean fk_launch_batch_allocate(FkController *c, FkLaunchBatch *batch, FkJob *job, FkMachine *machine) {
   guint32 index;
   gboolean is_open;
   if (!job_may_start_task(c, batch, job) || !find_chunk(c, batch, job, machine, &index, &is_open))
     return FALSE;
-  if (fk_launch_batch_is_full(c, batch) || (!is_open && fk_launch_batch_is_out_of_writes(c, batch)))
+  FkZoneGuardCost zone = fk_zone_guard_cost(c, batch, job);
+  if (!has_room(c, batch, is_open, &zone))
     return FALSE;
-  FkChunk *chunk = open_chunk(c, batch, job, index);
+  FkChunk *chunk = fk_launch_batch_open_chunk(c, batch, job, index);
+  fk_zone_guard_add(c, batch, job);
   guard_team_quota(c, batch, job->spec->team);
   allocate_first_waiting(c, chunk, job, machine);
   fk_transaction_guard(batch->txn, fk_store_key_path(FK_STORE_KEY_SHARD, machine->shard->id),
@@ -196,8 +221,9 @@
 
 gboolean fk_launch_batch_preempt(FkController *c, FkLaunchBatch *batch, FkJob *job, FkMachine *machine,
                                  const GArray *victims) {
-  guint guards = (batch->txn ? batch->txn->guards->len : 0) + GUARDS_PER_VICTIM * victims->len;
-  if (!has_writes_left(c, batch, victims->len + WRITES_PER_ALLOCATION) ||
+  FkZoneGuardCost zone = fk_zone_guard_cost(c, batch, job);
+  guint guards = (batch->txn ? batch->txn->guards->len : 0) + GUARDS_PER_VICTIM * victims->len + zone.guards;
+  if (!has_writes_left(c, batch, victims->len + WRITES_PER_ALLOCATION + zone.writes) ||
       guards + PREEMPTION_GUARDS > c->settings->transaction_ops_max * GUARDS_PER_WRITE_MAX ||
       fk_launch_batch_is_full(c, batch) || !fk_launch_batch_allocate(c, batch, job, machine))
     return FALSE;
@@ -205,7 +231,8 @@
     const FkAllocationRef *victim = &g_array_index(victims, FkAllocationRef, i);
     const FkSpec *spec = victim->job->spec;
     g_info("task preempted task=%s/%u machine=%s for=%s", spec->id, victim->task, machine->id, job->spec->id);
-    fk_chunk_request_stop(open_chunk(c, batch, victim->job, victim->task / spec->chunk_tasks), victim->task);
+    fk_chunk_request_stop(fk_launch_batch_open_chunk(c, batch, victim->job, victim->task / spec->chunk_tasks),
+                          victim->task);
   }
   return TRUE;
 }
--- a/src/core/scheduling/launch_batch.h
+++ b/src/core/scheduling/launch_batch.h
@@ -1,7 +1,7 @@
 /* A launch batch: one transaction that allocates tasks to machines and asks victims of preemption to stop.
  * The transaction commits only if the records that guard it haven't changed: this controller's launch fence,
- * the chunks that the batch writes and their jobs, the shards of the machines, and the records of teams with
- * a quota. */
+ * the chunks that the batch writes and their jobs, the shards of the machines, the records of teams with
+ * a quota, and what zone_guard.h adds. */
 #pragma once
 #include "core/controller_internal.h"
 
@@ -27,6 +27,14 @@
 /* Returns whether the batch can't write another chunk, since too few writes are available. Tasks of chunks
  * that the batch already writes can still be added. */
 gboolean fk_launch_batch_is_out_of_writes(FkController *c, const FkLaunchBatch *batch);
+/* Returns whether a record of so many bytes that the store has can be written again, as a part of a launch.
+ */
+gboolean fk_launch_batch_record_fits(FkController *c, guint bytes);
+/* Returns whether the batch writes the key. */
+gboolean fk_launch_batch_writes(const FkLaunchBatch *batch, const char *path);
+/* Returns the transaction's copy of chunk `index` of the job. Adds the chunk to the transaction first if
+ * necessary, guarded by its revision and the job's. */
+FkChunk *fk_launch_batch_open_chunk(FkController *c, FkLaunchBatch *batch, const FkJob *job, guint32 index);
 /* Allocates the job's first waiting task to the machine. Returns FALSE if no task of the job can be added to
  * the batch. */
 gboolean fk_launch_batch_allocate(FkController *c, FkLaunchBatch *batch, FkJob *job, FkMachine *machine);
--- a/src/core/scheduling/scheduling_cycle.c
+++ b/src/core/scheduling/scheduling_cycle.c
@@ -47,7 +47,7 @@
   char *path = fk_store_key_path(FK_STORE_KEY_LAUNCH_FENCE, c->settings->node);
   fk_transaction_guard(txn, g_strdup(path), fk_view_launch_fence_rev(c->view, c->settings->node));
   FkRecord *record = fk_record_new(FK_STORE_KEY_LAUNCH_FENCE);
-  record->supports_dependencies = TRUE;
+  record->features = FK_FEATURES_ALL;
   fk_transaction_put(txn, path, record, (FkRev){0});
   c->launches.fencing = TRUE;
   fk_transaction_send(c, txn, on_fence_result, NULL, NULL);
--- a/src/core/state/job.c
+++ b/src/core/state/job.c
@@ -32,6 +32,34 @@
 
 double fk_spec_cpu_seconds(const FkSpec *spec) { return spec->tasks * spec->cpus * MAX(1, spec->estimate_s); }
 
+/* Size of a job's record without its texts. */
+#define JOB_RECORD_OVERHEAD_BYTES 600
+#define ESCAPED_CONTROL_BYTES 6 /* \u001f */
+#define LIST_ITEM_BYTES 3       /* two quotes and a comma */
+
+/* Returns the number of bytes that JSON needs for the text; 0 for NULL. */
+static guint text_bytes(const char *text) {
+  guint bytes = 0;
+  for (; text && *text; text++) {
+    gboolean escaped = *text == '"' || *text == '\\';
+    bytes += g_ascii_iscntrl(*text) ? ESCAPED_CONTROL_BYTES : escaped ? 2 : 1;
+  }
+  return bytes;
+}
+
+static guint list_bytes(char *const *texts) {
+  guint bytes = 0;
+  for (; texts && *texts; texts++)
+    bytes += LIST_ITEM_BYTES + text_bytes(*texts);
+  return bytes;
+}
+
+guint fk_spec_record_bytes(const FkSpec *spec) {
+  return JOB_RECORD_OVERHEAD_BYTES + text_bytes(spec->class_name) + text_bytes(spec->team) +
+         text_bytes(spec->image) + text_bytes(spec->zone) + text_bytes(spec->owner) +
+         list_bytes(spec->types) + list_bytes(spec->dependencies);
+}
+
 guint32 fk_spec_chunk_count(const FkSpec *spec) {
   return (spec->tasks + spec->chunk_tasks - 1) / spec->chunk_tasks;
 }
--- a/src/core/state/job.h
+++ b/src/core/state/job.h
@@ -41,6 +41,8 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC(FkSpec, fk_spec_unref)
 /* Returns the CPU-seconds of all tasks together, by the user's estimate. */
 double fk_spec_cpu_seconds(const FkSpec *spec);
+/* Returns an upper bound on the size of the job's record, in bytes. */
+guint fk_spec_record_bytes(const FkSpec *spec);
 guint32 fk_spec_chunk_count(const FkSpec *spec);
 guint32 fk_spec_chunk_tasks(const FkSpec *spec, guint32 chunk);
 
--- a/src/core/state/job_dependencies.c
+++ b/src/core/state/job_dependencies.c
@@ -1,6 +1,7 @@
-/* Job dependencies: checks that all controllers support them, reads the terminal states that the view lacks,
- * and propagates priorities and deadlines from dependents to dependencies. */
+/* Job dependencies: checks that all controllers support them (features.h), reads the terminal states that the
+ * view lacks, and propagates priorities and deadlines from dependents to dependencies. */
 #include "core/controller_internal.h"
+#include "core/state/features.h"
 
 /* Limits on reads of terminal records. After a restart, thousands of blocked jobs may need the terminal
  * records of their dependencies. The limits leave the store's request budget to users' requests. */
@@ -8,18 +9,8 @@
 #define READS_MAX 8 /* largest number of reads in flight */
 #define INHERIT_INTERVAL_S 1.0
 
-static gboolean node_supports_dependencies(FkController *c, const char *node) {
-  const FkLaunchFence *fence = g_hash_table_lookup(c->view->launch_fences, node);
-  return fence && fence->supports_dependencies;
-}
-
 gboolean fk_job_dependencies_are_supported(FkController *c) {
-  if (!node_supports_dependencies(c, c->settings->node))
-    return FALSE;
-  for (guint i = 0; i < c->settings->peers->len; i++)
-    if (!node_supports_dependencies(c, ((FkPeer *)c->settings->peers->pdata[i])->name))
-      return FALSE;
-  return TRUE;
+  return fk_feature_is_supported(c, FK_FEATURE_DEPENDENCIES);
 }
 
 static void terminal_record_received(FkController *c, gpointer data, FkOutcome outcome, FkStoreEvent *event) {
--- a/src/core/state/records.h
+++ b/src/core/state/records.h
@@ -55,6 +55,14 @@
 /* Adds the sums and counts of `more` to `to`; leaves `window` as it is. */
 void fk_wait_times_add(FkWaitTimes *to, const FkWaitTimes *more);
 
+/* What a controller's version can do, as far as the other controllers must know: a set of bits. */
+typedef enum {
+  FK_FEATURE_DEPENDENCIES = 1 << 0, /* job dependencies, and several pages per shard */
+  FK_FEATURE_ZONE_GUARD = 1 << 1,   /* launches compare all that the choice of a zone read (zone_guard.h) */
+} FkFeature;
+typedef guint FkFeatures;
+#define FK_FEATURES_ALL (FK_FEATURE_DEPENDENCIES | FK_FEATURE_ZONE_GUARD)
+
 /* The value of one key: a tagged union that owns its members. Only the members of its `kind` may be accessed.
  * The comment of each member names the kind, without the prefix FK_KEY_. */
 typedef struct {
@@ -82,8 +90,8 @@
       guint32 tasks;      /* number of tasks done */
       gint64 ended_at_ms; /* wall clock; 0 if unknown */
     };
-    FkWaitTimes wait_times;         /* WAIT_TIMES */
-    gboolean supports_dependencies; /* LAUNCH_FENCE */
+    FkWaitTimes wait_times; /* WAIT_TIMES */
+    FkFeatures features;    /* LAUNCH_FENCE */
   };
 } FkRecord;
 
--- a/src/core/state/view.h
+++ b/src/core/state/view.h
@@ -143,7 +143,7 @@
  * capabilities the controller's version has. */
 typedef struct {
   FkRev rev;
-  gboolean supports_dependencies; /* job dependencies, and several pages per shard */
+  FkFeatures features;
 } FkLaunchFence;
 
 /* The replica of the store's live records, with statistics learned from their changes. Hash tables own their
--- a/src/core/state/view_apply.c
+++ b/src/core/state/view_apply.c
@@ -125,7 +125,7 @@
     g_hash_table_remove(v->launch_fences, id);
     return;
   }
-  FkLaunchFence fence = {rev, record->supports_dependencies};
+  FkLaunchFence fence = {rev, record->features};
   g_hash_table_replace(v->launch_fences, g_strdup(id), g_memdup2(&fence, sizeof fence));
 }
 
--- a/src/simulation/simulation.c
+++ b/src/simulation/simulation.c
@@ -180,6 +180,8 @@
     sim_schedule(sim, first_pipeline_s, sim_submit_chain_and_fan, NULL);
   if (plan->small_jobs_per_s > 0)
     sim_schedule(sim, FIRST_SPECIAL_JOB_S, sim_submit_small_jobs, NULL);
+  if (plan->zone_bound_jobs_per_s > 0)
+    sim_schedule(sim, FIRST_SPECIAL_JOB_S, sim_submit_zone_bound_jobs, NULL);
 }
 
 static void schedule_faults(Sim *sim) {
--- a/src/simulation/simulation.h
+++ b/src/simulation/simulation.h
@@ -89,12 +89,14 @@
       best_effort_teams;   /* a team without guarantee and quota, one without quota, one without guarantee */
   gboolean large_jobs;     /* one job of each kind that is hard to place, under a stream of small ones */
   double small_jobs_per_s; /* one-task jobs, a quarter of them cancelled */
-  double failing_job_chance; /* the job fails on every machine, until its user cancels it after a minute */
-  double pipelines_per_s;    /* of four stages; a fifth of them is cancelled somewhere */
-  double pipelines_from_s;   /* pipelines, chain and fan come from then on */
-  guint chain_length;        /* a chain of so many jobs, ... */
-  guint fan_out;             /* ... and a job that so many depend on */
-  double cancel_chain_at_s;  /* the first job of both is cancelled; 0: never */
+  double zone_bound_jobs_per_s; /* jobs in one zone or spread over zones, of more tasks than a chunk holds, of
+                                   which some attempts fail */
+  double failing_job_chance;    /* the job fails on every machine, until its user cancels it after a minute */
+  double pipelines_per_s;       /* of four stages; a fifth of them is cancelled somewhere */
+  double pipelines_from_s;      /* pipelines, chain and fan come from then on */
+  guint chain_length;           /* a chain of so many jobs, ... */
+  guint fan_out;                /* ... and a job that so many depend on */
+  double cancel_chain_at_s;     /* the first job of both is cancelled; 0: never */
   gboolean stop_polling_when_final; /* a user who was told the terminal state doesn't ask again */
   guint services; /* the recovery experiment: nothing but so many services of one task, all up ... */
   double loss_at_s, loss_share; /* ... when machines are lost: this share of them, ... */
--- a/src/simulation/simulation_internal.h
+++ b/src/simulation/simulation_internal.h
@@ -61,6 +61,7 @@
   double run_s;
   gboolean lost; /* with its machine, and it doesn't run again yet */
   gboolean always_fails;
+  double attempt_failure_chance; /* of each attempt to run a task */
   const char *class_name;
   FkJobPriority priority;
   guint starts;       /* starts of a faulty one */
@@ -260,6 +261,7 @@
 void sim_submit_best_effort_jobs(Sim *sim, gpointer round);
 void sim_submit_large_jobs(Sim *sim, gpointer unused);
 void sim_submit_small_jobs(Sim *sim, gpointer unused);
+void sim_submit_zone_bound_jobs(Sim *sim, gpointer unused);
 void sim_submit_pipelines(Sim *sim, gpointer unused);
 void sim_submit_chain_and_fan(Sim *sim, gpointer unused);
 void sim_submit_invalid_requests(Sim *sim, gpointer unused);
--- a/src/simulation/workers.c
+++ b/src/simulation/workers.c
@@ -19,6 +19,7 @@
   SimWorker *w;
   guint64 serial;
   int stage;
+  gboolean attempt_fails; /* by chance; decided when the task starts */
 } TaskStep;
 
 /* The model is a worker's first member. */
@@ -128,7 +129,9 @@
     return;
   }
   SimJob *j = sim_job_find(sim, t->job);
-  gboolean fails = (w->faulty || j->always_fails) && !j->finished[t->task];
+  if (s->stage == 0 && j->attempt_failure_chance > 0)
+    s->attempt_fails = sim_chance(sim, j->attempt_failure_chance);
+  gboolean fails = (w->faulty || j->always_fails || s->attempt_fails) && !j->finished[t->task];
   if (s->stage == 0) {
     check_start(sim, w, t);
     g_autofree char *key = task_key(t);
--- a/src/simulation/workload.c
+++ b/src/simulation/workload.c
@@ -2,6 +2,12 @@
 #include "simulation/simulation_internal.h"
 
 #define PIPELINE_STAGES 5
+#define ZONE_BOUND_TASKS_MIN 45 /* more than a chunk of 1 KiB holds */
+#define ZONE_BOUND_TASKS_MAX 70
+#define ZONE_BOUND_SERVICE_SHARE 0.1
+#define ZONE_BOUND_GANG_SHARE 0.1
+#define ZONE_BOUND_SERVICE_S 40.0
+#define ZONE_BOUND_FAILURE_CHANCE 0.05
 #define INVALID_REQUEST_INTERVAL_S 0.5
 #define BEST_EFFORT_ROUNDS 60 /* of a second */
 
@@ -148,6 +154,33 @@
     sim_schedule(sim, 1 / sim->plan.small_jobs_per_s, sim_submit_small_jobs, NULL);
 }
 
+/* Arrays, and now and then a service or a gang, whose tasks' zones depend on one another. All have more tasks
+ * than fit into one chunk. Few run at once, so that a job often has nothing running in the zone that it began
+ * in. */
+void sim_submit_zone_bound_jobs(Sim *sim, gpointer data) {
+  SimJob *job = new_job(sim);
+  double kind = sim_uniform(sim, 0, 1);
+  job->team = g_strdup(sim_chance(sim, 0.5) ? "red" : "blue");
+  job->shape = kind < ZONE_BOUND_SERVICE_SHARE                           ? FK_SHAPE_SERVICE
+               : kind < ZONE_BOUND_SERVICE_SHARE + ZONE_BOUND_GANG_SHARE ? FK_SHAPE_GANG
+                                                                         : FK_SHAPE_ARRAY;
+  job->class_name = "zone_bound";
+  job->priority = job->shape == FK_SHAPE_SERVICE ? FK_JOB_PRIORITY_HIGH : FK_JOB_PRIORITY_NORMAL;
+  job->tasks = (guint32)g_rand_int_range(sim->rand, ZONE_BOUND_TASKS_MIN, ZONE_BOUND_TASKS_MAX);
+  job->cpus = job->shape == FK_SHAPE_ARRAY ? SIM_MACHINE_CPUS / 2 : SIM_MACHINE_CPUS / 32;
+  job->one_zone = sim_chance(sim, 0.7);
+  job->spread = !job->one_zone;
+  job->spot = TRUE;
+  job->run_s = sim_uniform(sim, 0.3, 1.5);
+  job->attempt_failure_chance = job->shape == FK_SHAPE_ARRAY ? ZONE_BOUND_FAILURE_CHANCE : 0;
+  job->finished = g_new0(guint8, job->tasks);
+  sim_user_step(sim, job);
+  if (job->shape == FK_SHAPE_SERVICE)
+    sim_schedule(sim, ZONE_BOUND_SERVICE_S, sim_user_cancel, job);
+  if (submission_continues(sim))
+    sim_schedule(sim, 1 / sim->plan.zone_bound_jobs_per_s, sim_submit_zone_bound_jobs, NULL);
+}
+
 /* An array job of one CPU a task. Takes `dependencies`. */
 static SimJob *new_stage(Sim *sim, const char *class_name, guint32 tasks, double run_s,
                          FkJobPriority priority, GPtrArray *dependencies) {
--- a/src/wire/store_records.c
+++ b/src/wire/store_records.c
@@ -347,8 +347,10 @@
 
 static cJSON *launch_fence_to_json(const FkRecord *record) {
   cJSON *json = cJSON_CreateObject();
-  if (record->supports_dependencies)
+  if (record->features & FK_FEATURE_DEPENDENCIES)
     cJSON_AddBoolToObject(json, "chains", TRUE);
+  if (record->features & FK_FEATURE_ZONE_GUARD)
+    cJSON_AddBoolToObject(json, "zones", TRUE);
   return json;
 }
 
@@ -380,6 +382,14 @@
   return cJSON_CreateObject();
 }
 
+/* Records of earlier versions lack the fields of later features. */
+static FkFeatures launch_fence_features(const cJSON *json) {
+  gboolean dependencies = FALSE, zone_guard = FALSE;
+  fk_json_bool(json, "chains", &dependencies);
+  fk_json_bool(json, "zones", &zone_guard);
+  return (dependencies ? FK_FEATURE_DEPENDENCIES : 0) | (zone_guard ? FK_FEATURE_ZONE_GUARD : 0);
+}
+
 /* Reads the record of a controller's presence, of a shard or of the leader. Returns FALSE if it lacks a
  * field. */
 static gboolean owner_from_json(FkRecord *record, const cJSON *json) {
@@ -448,7 +458,7 @@
     record->partition = partition_from_json(fk_json_get(json, "split"));
     break;
   case FK_STORE_KEY_LAUNCH_FENCE:
-    fk_json_bool(json, "chains", &record->supports_dependencies);
+    record->features = launch_fence_features(json);
     break;
   default:
     return NULL;
--- a/test/test_combined_faults.c
+++ b/test/test_combined_faults.c
@@ -16,12 +16,14 @@
   double run_s;                /* 0: tasks of 1 to 15 s */
   double seconds;              /* 0: 300 */
   gboolean fast_restart, clock_skew;
-  double scale;            /* jobs come so many times as often; 0: twice */
-  double quota_factor;     /* the teams' limits, times those of good.json; 0: 20, which nobody reaches */
-  double small_jobs_per_s; /* one-task jobs a second */
-  double boot_s;           /* rented machines are up within this, ... */
-  double pipelines_per_s;  /* pipelines a second; guint deep, fan: jobs in one row, and round one job,
-                              cancelled at ... */
+  double scale;                 /* jobs come so many times as often; 0: twice */
+  double quota_factor;          /* the teams' limits, times those of good.json; 0: 20, which nobody reaches */
+  double small_jobs_per_s;      /* one-task jobs a second */
+  double boot_s;                /* rented machines are up within this, ... */
+  double value_kb;              /* the store's limit for a value, and so the size of a chunk; 0: 2 KiB */
+  double zone_bound_jobs_per_s; /* jobs of several chunks in one zone, or spread over zones */
+  double pipelines_per_s;       /* pipelines a second; guint deep, fan: jobs in one row, and round one job,
+                                   cancelled at ... */
   guint chain_length, fan_out;
   gboolean stop_polling_when_final; /* users who were told the end */
   double cancel_chain_at_s;
@@ -706,6 +708,31 @@
      .fan_out = 300,
      .cancel_chain_at_s = 40,
      .scale = 3},
+    /* a launch is held back while the tasks that its choice of a zone has seen end, and others start
+       elsewhere: by any controller, ... */
+    {"zone_bound_late_launches",
+     8,
+     {{30, 150, SIM_FAULT_LATE_WRITES, .share = 0.3, .key_prefix = "fk/l/t/"}},
+     .value_kb = 1,
+     .zone_bound_jobs_per_s = 0.1},
+    /* ... by a controller that is cut from the store, ends or is refused */
+    {"zone_bound_store_faults",
+     6,
+     {{40, 6, SIM_FAULT_STORE_PARTITION, SIM_TARGET_LEADER},
+      {60, 6, SIM_FAULT_STORE_PARTITION, SIM_TARGET_FOLLOWER},
+      {80, 20, SIM_FAULT_LATE_WRITES, .share = 0.5},
+      {85, 0, SIM_FAULT_CRASH, SIM_TARGET_LEADER},
+      {110, 6, SIM_FAULT_STORE_PARTITION, SIM_TARGET_ANY},
+      {130, 20, SIM_FAULT_LOST_REPLIES, .share = 0.5}},
+     .value_kb = 1,
+     .zone_bound_jobs_per_s = 0.1},
+    /* ... by a controller of the version before, or beside one */
+    {"zone_bound_rolling_upgrade",
+     8,
+     {{30, 120, SIM_FAULT_LATE_WRITES, .share = 0.3, .key_prefix = "fk/l/t/"}},
+     .value_kb = 1,
+     .zone_bound_jobs_per_s = 0.1,
+     .upgrade_at_s = 60},
     /* one-task jobs, four a second, a quarter of them cancelled, some at the end: in calm and not */
     {"small_jobs", 2, {{20, 160, SIM_FAULT_CANCEL_AT_COMPLETION, .share = 0.1}}, .small_jobs_per_s = 4},
     {"small_jobs_faults",
@@ -818,6 +845,8 @@
                       guint controllers) {
   g_autoptr(FkSettings) s = schedule_settings(test_case->quota_factor > 0 ? test_case->quota_factor : 20);
   guint now_ops = s->transaction_ops_max;
+  if (test_case->value_kb > 0)
+    s->value_kb = s->current_value_limit_kb = test_case->value_kb;
   if (test_case->limits_reduced_at_s > 0) {
     s->value_kb = 1;
     s->transaction_ops_max = 10;
@@ -831,6 +860,7 @@
                   .up = test_case->initial_machines ? test_case->initial_machines : 24,
                   .scale = test_case->scale > 0 ? test_case->scale : 2,
                   .small_jobs_per_s = test_case->small_jobs_per_s,
+                  .zone_bound_jobs_per_s = test_case->zone_bound_jobs_per_s,
                   .boot_s = test_case->boot_s,
                   .pipelines_per_s = test_case->pipelines_per_s,
                   .chain_length = test_case->chain_length,
@@ -1010,6 +1040,7 @@
       {"fk/d/run-1", "{\"phase\":2,\"tasks\":4}", TRUE},
       {"fk/d/run-2", "{\"phase\":2,\"tasks\":4,\"at\":17}", FALSE},
       {"fk/l/f/c-0", "{\"chains\":true}", FALSE},
+      {"fk/l/f/c-0", "{\"chains\":true,\"zones\":true}", FALSE},
   };
   for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
     char *texts[2];
