--- a/src/simulation/scale/heartbeats.c
+++ b/src/simulation/scale/heartbeats.c
@@ -4,6 +4,7 @@
 
 #include "common/random.h"
 #include "simulation/scale/addresses.h"
+#include "simulation/scale/late_copies.h"
 #include "wire/worker.h"
 
 #define INTERVAL_S_MIN 0.5       /* between two heartbeats of a worker */
@@ -36,6 +37,8 @@
 static void start_heartbeats(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
   worker->heartbeat_in_flight = FALSE;
   schedule_heartbeat(workers, worker, 0);
+  if (worker->gets_copies)
+    fk_late_copies_schedule(workers, worker);
 }
 
 static void on_state_changed(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
@@ -166,8 +169,9 @@
   fk_stand_in_respond(message, status, body);
 }
 
-static void execute_commands(FkSimulatedWorkers *workers, SoupServerMessage *message,
-                             FkSimulatedWorker *worker, const FkWorkerCommands *request) {
+/* Returns whether the worker has executed them. */
+static gboolean execute_commands(FkSimulatedWorkers *workers, SoupServerMessage *message,
+                                 FkSimulatedWorker *worker, const FkWorkerCommands *request) {
   guint64 token_before = worker->model.fencing_token;
   guint tasks_before = worker->model.tasks->len;
   fk_simulated_workers_check_lease(workers, worker, g_get_monotonic_time());
@@ -180,6 +184,7 @@
     worker->state_changed = changed_before;
     on_state_changed(workers, worker);
   }
+  return accepted;
 }
 
 static void on_request(SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
@@ -205,10 +210,10 @@
     return;
   }
   g_autoptr(FkWorkerCommands) request = fk_worker_parse_commands(body, len);
-  if (request)
-    execute_commands(workers, message, worker, request);
-  else
+  if (!request)
     fk_stand_in_respond(message, 400, g_strdup("{}"));
+  else if (execute_commands(workers, message, worker, request))
+    fk_late_copies_remember(worker, body, len);
 }
 
 void fk_heartbeats_open(FkSimulatedWorkers *workers) {
--- a/src/simulation/scale/plan.c
+++ b/src/simulation/scale/plan.c
@@ -7,10 +7,10 @@
   const char *word;
   FkScaleFaultKind kind;
   double default_duration_s;
-} fault_kinds[] = {{"kill", FK_SCALE_FAULT_KILL, 5},    {"stop", FK_SCALE_FAULT_STOP, 10},
-                   {"rack", FK_SCALE_FAULT_RACK, 0},    {"zone", FK_SCALE_FAULT_ZONE, 0},
-                   {"state", FK_SCALE_FAULT_STORE, 20}, {"apart", FK_SCALE_FAULT_PARTITION, 120},
-                   {"churn", FK_SCALE_FAULT_CHURN, 60}};
+} fault_kinds[] = {{"kill", FK_SCALE_FAULT_KILL, 5},       {"stop", FK_SCALE_FAULT_STOP, 10},
+                   {"rack", FK_SCALE_FAULT_RACK, 0},       {"zone", FK_SCALE_FAULT_ZONE, 0},
+                   {"state", FK_SCALE_FAULT_STORE, 20},    {"apart", FK_SCALE_FAULT_PARTITION, 120},
+                   {"restart", FK_SCALE_FAULT_RESTART, 0}, {"churn", FK_SCALE_FAULT_CHURN, 60}};
 
 FkScalePlan *fk_scale_plan_new(void) {
   FkScalePlan *plan = g_new0(FkScalePlan, 1);
@@ -74,9 +74,10 @@
     g_array_append_val(plan->faults, fault);
     return TRUE;
   }
-  g_set_error(error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
-              "--fault %s: kill, stop, rack, zone, state, apart or churn @SECONDS[:DURATION] is needed",
-              text);
+  g_set_error(
+      error, G_OPTION_ERROR, G_OPTION_ERROR_BAD_VALUE,
+      "--fault %s: kill, stop, rack, zone, state, apart, restart or churn @SECONDS[:DURATION] is needed",
+      text);
   return FALSE;
 }
 
--- a/src/simulation/scale/plan.h
+++ b/src/simulation/scale/plan.h
@@ -16,6 +16,7 @@
   FK_SCALE_FAULT_ZONE,      /* all machines of one zone fail */
   FK_SCALE_FAULT_STORE,     /* the key-value store answers 503 for `duration_s` */
   FK_SCALE_FAULT_PARTITION, /* the regions can't reach each other for `duration_s` */
+  FK_SCALE_FAULT_RESTART,   /* all machines are back at once, and copies of earlier commands reach them */
   FK_SCALE_FAULT_CHURN      /* a day's failures and restarts, proportional to the machines, in `duration_s` */
 } FkScaleFaultKind;
 
--- a/src/simulation/scale/simulated_workers.c
+++ b/src/simulation/scale/simulated_workers.c
@@ -11,6 +11,8 @@
 #define CACHED_IMAGE_FETCH_S 0.02
 #define RESTART_S_MIN 1
 #define RESTART_S_MAX 5
+#define QUICK_RESTART_S_MIN 0.05
+#define QUICK_RESTART_S_MAX 0.5
 
 static gint64 now_plus(double delay_s) { return g_get_monotonic_time() + (gint64)(delay_s * 1e6); }
 
@@ -242,16 +244,28 @@
   fk_simulated_workers_terminate(workers, worker);
 }
 
-void fk_simulated_workers_restart(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
-  if (worker->terminated || !worker->up)
-    return;
+static void restart(FkSimulatedWorkers *workers, FkSimulatedWorker *worker, double back_s) {
   fk_metrics_log_add(workers->metrics, "restarted", !worker->remote);
   shut_down(workers, worker);
   worker->boots++;
   worker->model.incarnation = 1;
   worker->model.sequence = worker->model.fencing_token = 0;
   g_hash_table_remove_all(worker->images);
-  schedule_boot(workers, worker, fk_random_uniform(workers->rand, RESTART_S_MIN, RESTART_S_MAX));
+  schedule_boot(workers, worker, back_s);
+}
+
+void fk_simulated_workers_restart(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
+  if (worker->terminated || !worker->up)
+    return;
+  worker->gets_copies = FALSE;
+  restart(workers, worker, fk_random_uniform(workers->rand, RESTART_S_MIN, RESTART_S_MAX));
+}
+
+void fk_simulated_workers_restart_at_once(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
+  if (worker->terminated || !worker->up)
+    return;
+  worker->gets_copies = TRUE;
+  restart(workers, worker, fk_random_uniform(workers->rand, QUICK_RESTART_S_MIN, QUICK_RESTART_S_MAX));
 }
 
 guint fk_simulated_workers_count(const FkSimulatedWorkers *workers) {
--- a/src/simulation/scale/simulated_workers.h
+++ b/src/simulation/scale/simulated_workers.h
@@ -32,6 +32,9 @@
   gboolean state_changed;   /* since the latest heartbeat */
   gint64 token_change_us;   /* when a higher fencing token last counted as a change */
   GHashTable *images;       /* names of the images that it has */
+  GPtrArray *executed;      /* bodies of direct commands (late_copies.h); NULL: none */
+  GPtrArray *copies;        /* those of before the restart, which reach it again; NULL: none */
+  gboolean gets_copies;     /* its latest restart was one after which copies reach it */
 } FkSimulatedWorker;
 
 typedef struct FkSimulatedWorkers FkSimulatedWorkers;
@@ -82,6 +85,8 @@
 void fk_simulated_workers_fail(FkSimulatedWorkers *workers, FkSimulatedWorker *worker);
 /* The machine is back within seconds, in its first incarnation and without tasks or images. */
 void fk_simulated_workers_restart(FkSimulatedWorkers *workers, FkSimulatedWorker *worker);
+/* As above, but back within half a second, when copies of earlier commands reach it (late_copies.h). */
+void fk_simulated_workers_restart_at_once(FkSimulatedWorkers *workers, FkSimulatedWorker *worker);
 /* When the lease has expired by `now`, its tasks are released as of the lease's end, however late this is
  * noticed, and the next incarnation begins. Whether it had expired. */
 gboolean fk_simulated_workers_check_lease(FkSimulatedWorkers *workers, FkSimulatedWorker *worker, gint64 now);
--- a/src/simulation/scale/worker_faults.c
+++ b/src/simulation/scale/worker_faults.c
@@ -5,7 +5,7 @@
 #define MACHINES_PER_RACK 40
 #define RESTART_SHARE 0.951                    /* 1,700 restarts for 88 failures a day */
 #define FAULTS_PER_MACHINE_DAY (1788.0 / 7600) /* restarts and failures */
-#define FAULTED_REGION 0                       /* of rack and zone failures */
+#define FAULTED_REGION 0                       /* of rack and zone failures and restarts */
 
 /* Any machine; with several processes, one that all of them know. */
 static FkSimulatedWorker *random_worker(FkSimulatedWorkers *workers) {
@@ -46,6 +46,12 @@
     fk_simulated_workers_fail(workers, worker);
 }
 
+static void restart_all(gpointer owner, gpointer unused) {
+  FkSimulatedWorkers *workers = owner;
+  for (guint i = 0; i < workers->all->len; i++)
+    fk_simulated_workers_restart_at_once(workers, workers->all->pdata[i]);
+}
+
 static void schedule_at(FkSimulatedWorkers *workers, double at_s, FkEventQueueFn fn) {
   fk_event_queue_add(workers->event_queue, workers->plan->start_us + (gint64)(at_s * 1e6), fn, NULL);
 }
@@ -70,6 +76,10 @@
     if (workers->region == FAULTED_REGION)
       schedule_at(workers, fault->at_s, fail_zone);
     break;
+  case FK_SCALE_FAULT_RESTART:
+    if (workers->region == FAULTED_REGION)
+      schedule_at(workers, fault->at_s, restart_all);
+    break;
   case FK_SCALE_FAULT_KILL:
   case FK_SCALE_FAULT_STOP:
   case FK_SCALE_FAULT_STORE:
--- a/src/simulation/scale/worker_faults.h
+++ b/src/simulation/scale/worker_faults.h
@@ -1,4 +1,4 @@
-/* The plan's faults of machines: rack and zone failures, and churn. */
+/* The plan's faults of machines: rack and zone failures, restarts, and churn. */
 #pragma once
 #include "simulation/scale/simulated_workers.h"
 
