One way to execute direct commands in scale runs; copies kept only where needed

late_copies.c had written again what heartbeats.c does with direct commands, without the note of a higher token; both call fk_heartbeats_execute_commands() now. The bodies of executed commands, 100 a worker, are kept only where the plan has a `restart` fault: large runs would have held them for nothing. The cases of late copies share their plan in one macro; their values are the same.

--- a/src/simulation/scale/heartbeats.c
+++ b/src/simulation/scale/heartbeats.c
@@ -169,15 +169,13 @@
   fk_stand_in_respond(message, status, body);
 }
 
-/* Returns whether the worker has executed them. */
-static gboolean execute_commands(FkSimulatedWorkers *workers, SoupServerMessage *message,
-                                 FkSimulatedWorker *worker, const FkWorkerCommands *request) {
+gboolean fk_heartbeats_execute_commands(FkSimulatedWorkers *workers, FkSimulatedWorker *worker,
+                                        const FkWorkerCommands *request) {
   guint64 token_before = worker->model.fencing_token;
   guint tasks_before = worker->model.tasks->len;
   fk_simulated_workers_check_lease(workers, worker, g_get_monotonic_time());
   gboolean accepted = fk_worker_model_command(&worker->model, &workers->model_hooks, request->incarnation,
                                               request->fencing_token, request->commands);
-  respond_with_state(workers, message, worker, accepted ? 200 : 409);
   gboolean changed_before = worker->state_changed;
   note_token(workers, worker, token_before);
   if (worker->model.tasks->len != tasks_before || worker->state_changed != changed_before) {
@@ -210,9 +208,13 @@
     return;
   }
   g_autoptr(FkWorkerCommands) request = fk_worker_parse_commands(body, len);
-  if (!request)
+  if (!request) {
     fk_stand_in_respond(message, 400, g_strdup("{}"));
-  else if (execute_commands(workers, message, worker, request))
+    return;
+  }
+  gboolean accepted = fk_heartbeats_execute_commands(workers, worker, request);
+  respond_with_state(workers, message, worker, accepted ? 200 : 409);
+  if (accepted && fk_scale_plan_has_fault(workers->plan, FK_SCALE_FAULT_RESTART))
     fk_late_copies_remember(worker, body, len);
 }
 
--- a/src/simulation/scale/late_copies.c
+++ b/src/simulation/scale/late_copies.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "common/random.h"
-#include "wire/worker.h"
+#include "simulation/scale/heartbeats.h"
 
 #define COMMANDS_MAX 100 /* of one worker */
 #define DELAY_S_MIN 1.0
@@ -30,13 +30,8 @@
     return;
   const char *body = worker->copies->pdata[copy->index];
   g_autoptr(FkWorkerCommands) request = fk_worker_parse_commands(body, strlen(body));
-  guint tasks_before = worker->model.tasks->len;
-  fk_simulated_workers_check_lease(workers, worker, g_get_monotonic_time());
-  gboolean accepted = fk_worker_model_command(&worker->model, &workers->model_hooks, request->incarnation,
-                                              request->fencing_token, request->commands);
+  gboolean accepted = fk_heartbeats_execute_commands(workers, worker, request);
   fk_metrics_log_add(workers->metrics, accepted ? "copies_executed" : "copies_rejected", 1);
-  if (worker->model.tasks->len != tasks_before)
-    workers->hooks.on_state_changed(workers, worker);
 }
 
 void fk_late_copies_schedule(FkSimulatedWorkers *workers, FkSimulatedWorker *worker) {
--- a/src/simulation/scale/plan.c
+++ b/src/simulation/scale/plan.c
@@ -81,6 +81,13 @@
   return FALSE;
 }
 
+gboolean fk_scale_plan_has_fault(const FkScalePlan *plan, FkScaleFaultKind kind) {
+  for (guint i = 0; i < plan->faults->len; i++)
+    if (g_array_index(plan->faults, FkScaleFault, i).kind == kind)
+      return TRUE;
+  return FALSE;
+}
+
 gboolean fk_scale_plan_validate(const FkScalePlan *plan, GError **error) {
   const struct {
     const char *message;
--- a/src/simulation/scale/plan.h
+++ b/src/simulation/scale/plan.h
@@ -54,6 +54,8 @@
 /* Appends a fault given as "KIND@SECONDS" or "KIND@SECONDS:DURATION". FALSE with G_OPTION_ERROR_BAD_VALUE
  * when the text is malformed. */
 gboolean fk_scale_plan_add_fault(FkScalePlan *plan, const char *text, GError **error);
+/* Whether the plan has a fault of that kind. */
+gboolean fk_scale_plan_has_fault(const FkScalePlan *plan, FkScaleFaultKind kind);
 /* FALSE with G_OPTION_ERROR_BAD_VALUE when an option is out of its range. */
 gboolean fk_scale_plan_validate(const FkScalePlan *plan, GError **error);
 /* The plan as written to plan.json and into the summary; the caller owns the result. */
--- a/test/test_combined_faults.c
+++ b/test/test_combined_faults.c
@@ -44,6 +44,10 @@
     61.5, out, SIM_FAULT_STORE_OUTAGE                                                                        \
   }
 #define LONG_TASKS .run_s = 60
+/* Copies arrive so long after the restart; nothing else is late. */
+#define LATE_COPIES_PLAN(from, to)                                                                           \
+  .zone_bound_jobs_per_s = 0.1, .late_copies_from_s = (from), .late_copies_to_s = (to), .run_s = 30,         \
+  .on_time = TRUE
 /* Tasks are moved and cancelled before, while and after machines restart. */
 #define LATE_COPIES                                                                                          \
   {35, 100, SIM_FAULT_CANCEL_BURST}, {40, 18, SIM_FAULT_MACHINE_HANG, .share = 0.2},                         \
@@ -744,14 +748,7 @@
      .upgrade_at_s = 60},
     /* machines are back within a second, without tasks or token, and copies of the starts that they had
        carried out reach them: seconds later, ... */
-    {"late_copies",
-     8,
-     {LATE_COPIES},
-     .zone_bound_jobs_per_s = 0.1,
-     .late_copies_from_s = 1,
-     .late_copies_to_s = 20,
-     .run_s = 30,
-     .on_time = TRUE},
+    {"late_copies", 8, {LATE_COPIES}, LATE_COPIES_PLAN(1, 20)},
     /* ... after controllers have ended and are back as quickly, ... */
     {"late_copies_controller_restarts",
      8,
@@ -760,11 +757,7 @@
       {64, 0, SIM_FAULT_CRASH, SIM_TARGET_LEADER},
       {84, 0, SIM_FAULT_CRASH, SIM_TARGET_FOLLOWER},
       {104, 0, SIM_FAULT_CRASH, SIM_TARGET_ALL}},
-     .zone_bound_jobs_per_s = 0.1,
-     .late_copies_from_s = 1,
-     .late_copies_to_s = 20,
-     .run_s = 30,
-     .on_time = TRUE,
+     LATE_COPIES_PLAN(1, 20),
      .fast_restart = TRUE},
     /* ... while no controller owns the machine, ... */
     {"late_copies_without_owner",
@@ -774,21 +767,10 @@
       {70.3, 0, SIM_FAULT_CRASH, SIM_TARGET_LEADER},
       {90.1, 0, SIM_FAULT_CRASH, SIM_TARGET_FOLLOWER},
       {110.2, 0, SIM_FAULT_CRASH, SIM_TARGET_ALL}},
-     .zone_bound_jobs_per_s = 0.1,
-     .late_copies_from_s = 1,
-     .late_copies_to_s = 20,
-     .run_s = 30,
-     .on_time = TRUE,
+     LATE_COPIES_PLAN(1, 20),
      .fast_restart = TRUE},
     /* ... milliseconds later */
-    {"late_copies_at_once",
-     8,
-     {LATE_COPIES},
-     .zone_bound_jobs_per_s = 0.1,
-     .late_copies_from_s = 0.001,
-     .late_copies_to_s = 1,
-     .run_s = 30,
-     .on_time = TRUE},
+    {"late_copies_at_once", 8, {LATE_COPIES}, LATE_COPIES_PLAN(0.001, 1)},
     /* one-task jobs, four a second, a quarter of them cancelled, some at the end: in calm and not */
     {"small_jobs", 2, {{20, 160, SIM_FAULT_CANCEL_AT_COMPLETION, .share = 0.1}}, .small_jobs_per_s = 4},
     {"small_jobs_faults",
